--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,344 @@
+package control
+
+import (
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+)
+
+// script drives a Router through its public interface on a clock of its own and
+// keeps what came back.
+type script struct {
+	t    *testing.T
+	r    *Router
+	now  Time
+	acts []Action
+}
+
+const ms = time.Millisecond
+
+func settings(role ...Role) Settings {
+	return Settings{
+		Seed: 1, Routers: 1, KindRole: role, KindMemory: make([]float64, len(role)), MayCancel: true, MaxAttempts: 5,
+		PinLimit: 500 * ms, DrainGrace: 250 * ms, AnswerGrace: 8 * ms, ColdFrom: 0.25, ColdFor: 10 * time.Second,
+		FallMultiple: 2.5, FallAfter: time.Second, MaxRetryAfter: time.Second,
+		Classes: []Class{
+			{Aim: 800 * ms, Deadline: 4 * time.Second, Worth: 1},
+			{Aim: 800 * ms, Deadline: 4 * time.Second, Worth: 1, Effect: Unsafe},
+			{Aim: 800 * ms, Deadline: 4 * time.Second, Worth: 1, Effect: Keyed, Scope: ScopeCell, Window: time.Second},
+		},
+	}
+}
+
+// start gives a router servers 1, 2, ... of the kinds named, kind i having role i.
+func start(t *testing.T, set Settings, kinds ...int) *script {
+	s := &script{t: t, r: New(set, 1e6), now: 1e6}
+	var list []Server
+	for i, kind := range kinds {
+		list = append(list, Server{ID: ServerID(i + 1), State: Ready, Kind: kind, Weight: 1})
+	}
+	s.do(0, Fleet{Servers: list, Full: true})
+	return s
+}
+
+// do hands over events after a while and returns the actions.
+func (s *script) do(after time.Duration, events ...Event) []Action {
+	s.now = s.now.Add(after)
+	acts := s.r.Handle(s.now, events)
+	s.acts = append(s.acts, acts...)
+	return acts
+}
+
+// ticks lets time pass tick by tick and returns all that was done meanwhile.
+func (s *script) ticks(span time.Duration) (acts []Action) {
+	for ; span > 0; span -= 50 * ms {
+		acts = append(acts, s.do(50*ms, Timer{})...)
+	}
+	return acts
+}
+
+func (s *script) request(id RequestID, class int) Request {
+	return Request{ID: id, Class: class, Session: uint64(id), PromptLen: 1000, MaxTokens: 100,
+		Deadline: s.now.Add(4 * time.Second)}
+}
+
+// only returns the actions of one type.
+func only[T Action](acts []Action) (list []T) {
+	for _, a := range acts {
+		if a, ok := a.(T); ok {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// sent returns the one send among the actions.
+func (s *script) sent(acts []Action) Send {
+	s.t.Helper()
+	sends := only[Send](acts)
+	if len(sends) != 1 {
+		s.t.Fatalf("want one send, got %v", acts)
+	}
+	return sends[0]
+}
+
+func (s *script) read(send Send, attempt int) []Action {
+	return s.do(20*ms, Outcome{ID: send.ID, Attempt: attempt, Server: send.Server, Result: ReadDone, Took: 20 * ms})
+}
+
+func TestOrdinaryPathReadsThenWrites(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0, 1)
+	read := s.sent(s.do(0, s.request(1, 0)))
+	write := s.sent(s.read(read, 0))
+	if read.Server != 1 || write.Server != 2 {
+		t.Fatalf("read at %d, written at %d", read.Server, write.Server)
+	}
+	s.do(10*ms, Started{ID: 1, Server: 2, Attempt: 1, Took: 10 * ms})
+	acts := s.do(time.Second, Outcome{ID: 1, Attempt: 1, Server: 2, Result: OK, Took: time.Second, Final: true})
+	if len(only[Send](acts))+len(only[Refuse](acts))+len(only[Fail](acts)) != 0 {
+		t.Fatalf("something was done for an answered request: %v", acts)
+	}
+}
+
+func TestSessionGoesToItsLastReader(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0, 0, 0, 1)
+	first := s.request(1, 0)
+	first.Session, first.Prefix = 77, 5
+	read := s.sent(s.do(0, first))
+	s.sent(s.read(read, 0))
+	second := s.request(2, 0)
+	second.Session, second.Prefix = 77, 6
+	if again := s.sent(s.do(time.Second, second)); again.Server != read.Server {
+		t.Fatalf("first turn read at %d, second at %d", read.Server, again.Server)
+	}
+}
+
+func TestHeldRequestIsAnsweredBeforeItsClientLeaves(t *testing.T) {
+	s := start(t, settings(Reader, Writer)) // no server at all
+	q := s.request(1, 0)
+	q.Deadline = s.now.Add(300 * ms)
+	s.do(0, q)
+	s.ticks(250 * ms)
+	if n := len(only[Refuse](s.acts)); n != 1 {
+		t.Fatalf("%d final answers before the client left", n)
+	}
+	if acts := s.ticks(time.Second); len(only[Refuse](acts)) != 0 {
+		t.Fatal("answered twice")
+	}
+}
+
+func TestRequestWithHardlyAnyTimeIsAnsweredAtOnce(t *testing.T) {
+	s := start(t, settings(Reader, Writer))
+	q := s.request(1, 0)
+	q.Deadline = s.now.Add(10 * ms)
+	if acts := s.do(0, q); len(only[Refuse](acts)) != 1 {
+		t.Fatalf("got %v", acts)
+	}
+}
+
+func TestUnsafeRequestThatMayHaveRunIsFailed(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0, 1, 1)
+	write := s.sent(s.read(s.sent(s.do(0, s.request(1, 1))), 0))
+	acts := s.do(10*ms, Outcome{ID: 1, Attempt: 1, Server: write.Server, Result: Failed, Took: 10 * ms})
+	if len(only[Fail](acts)) != 1 || len(only[Send](acts)) != 0 || len(only[Refuse](acts)) != 0 {
+		t.Fatalf("got %v", acts)
+	}
+	if len(only[Release](acts)) != 1 {
+		t.Fatalf("the state stays: %v", acts)
+	}
+}
+
+func TestUnsafeRequestThatNeverRanGoesOn(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0, 1, 1)
+	write := s.sent(s.read(s.sent(s.do(0, s.request(1, 1))), 0))
+	again := s.sent(s.do(10*ms, Outcome{ID: 1, Attempt: 1, Server: write.Server, Result: ConnectFailed}))
+	if again.Server == write.Server || again.Server == 1 {
+		t.Fatalf("sent to %d after %d failed", again.Server, write.Server)
+	}
+}
+
+func TestKeyedRequestStaysInItsCell(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0)
+	var cells []Server
+	for i := range 6 {
+		cells = append(cells, Server{ID: ServerID(10 + i), State: Ready, Kind: 1, Weight: 1, Cell: uint16(i / 2)})
+	}
+	s.do(0, Fleet{Servers: cells})
+	write := s.sent(s.read(s.sent(s.do(0, s.request(1, 2))), 0))
+	again := s.sent(s.do(10*ms, Outcome{ID: 1, Attempt: 1, Server: write.Server, Result: Reset}))
+	if (again.Server-10)/2 != (write.Server-10)/2 || again.Server == write.Server {
+		t.Fatalf("ran at %d, repeated at %d", write.Server, again.Server)
+	}
+	acts := s.do(2*time.Second, Outcome{ID: 1, Attempt: 2, Server: again.Server, Result: Failed})
+	if len(only[Send](acts)) != 0 || len(only[Fail](acts)) != 1 {
+		t.Fatalf("repeated after the window: %v", acts)
+	}
+}
+
+func TestDrainingServerGetsNothing(t *testing.T) {
+	for _, state := range []State{Draining, Gone} {
+		s := start(t, settings(Reader, Writer), 0, 0, 1)
+		s.do(0, Fleet{Servers: []Server{{ID: 1, State: state, Kind: 0}}})
+		for id := range RequestID(8) {
+			if send := s.sent(s.do(time.Second, s.request(id+1, 0))); send.Server != 2 {
+				t.Fatalf("sent to server %d in state %d", send.Server, state)
+			}
+			s.read(Send{ID: id + 1, Server: 2}, 0)
+		}
+	}
+}
+
+func TestServerMissingFromTheFullListGetsNothing(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0, 1)
+	s.do(0, Fleet{Servers: []Server{{ID: 2, State: Ready, Kind: 1}}, Full: true})
+	if acts := s.do(0, s.request(1, 0)); len(only[Send](acts)) != 0 {
+		t.Fatalf("got %v", acts)
+	}
+}
+
+func TestColdServerGetsASmallShare(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0, 0, 1)
+	id := RequestID(0)
+	count := func(n int) (cold int) {
+		for range n {
+			id++
+			q := s.request(id, 0)
+			send := s.sent(s.do(10*ms, q))
+			if send.Server == 2 {
+				cold++
+			}
+			s.read(send, 0)
+			s.do(0, Outcome{ID: id, Attempt: 1, Server: 3, Result: OK, Took: 10 * ms, Final: true}, Timer{})
+		}
+		return cold
+	}
+	warm := count(100)
+	s.do(0, Fleet{Servers: []Server{{ID: 2, State: Ready, Kind: 0, Since: s.now, Weight: 1}}})
+	cold := count(100)
+	if warm < 20 || cold == 0 || cold > warm/2 {
+		t.Fatalf("%d sends while warm, %d while cold", warm, cold)
+	}
+}
+
+func TestLateReadIsLetGo(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0, 1)
+	read := s.sent(s.do(0, s.request(1, 0)))
+	s.do(10*ms, ClientGone{ID: 1})
+	if acts := s.read(read, 0); len(only[Release](acts)) != 1 || len(only[Send](acts)) != 0 {
+		t.Fatalf("got %v", acts)
+	}
+}
+
+func TestStateIsLetGoWhenItsLastAttemptOutlivesTheClient(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0, 1)
+	write := s.sent(s.read(s.sent(s.do(0, s.request(1, 0))), 0))
+	s.do(10*ms, ClientGone{ID: 1})
+	acts := s.do(10*ms, Outcome{ID: 1, Attempt: 1, Server: write.Server, Result: Full, Final: true})
+	if len(only[Release](acts)) != 1 {
+		t.Fatalf("got %v", acts)
+	}
+}
+
+func TestStateIsLetGoWhenNoWriterTakesIt(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0)
+	acts := s.read(s.sent(s.do(0, s.request(1, 0))), 0)
+	if len(only[Release](acts)) != 1 || len(only[Refuse](acts)) != 1 {
+		t.Fatalf("got %v", acts)
+	}
+}
+
+func TestLostStateIsReadAnew(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0, 1)
+	write := s.sent(s.read(s.sent(s.do(0, s.request(1, 0))), 0))
+	acts := s.do(10*ms, Outcome{ID: 1, Attempt: 1, Server: write.Server, Result: Full, Note: 1})
+	if again := s.sent(acts); again.Server != 1 {
+		t.Fatalf("sent to %d", again.Server)
+	}
+	if len(only[Release](acts)) != 1 {
+		t.Fatalf("a state that only this writer can't reach stays: %v", acts)
+	}
+}
+
+func TestSilentReaderIsSetAsideAndItsReadsMoved(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0, 0, 1)
+	read := s.sent(s.do(0, s.request(1, 0)))
+	if cancels := only[Cancel](s.ticks(600 * ms)); len(cancels) != 1 {
+		t.Fatalf("cancels: %v", cancels)
+	}
+	again := s.sent(s.do(0, Outcome{ID: 1, Attempt: 0, Server: read.Server, Result: Cancelled}))
+	if again.Server == read.Server {
+		t.Fatal("sent to the silent server again")
+	}
+}
+
+func TestStreamingWriterIsNotSilent(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0, 1, 1)
+	write := s.sent(s.read(s.sent(s.do(0, s.request(1, 0))), 0))
+	s.do(10*ms, Started{ID: 1, Server: write.Server, Attempt: 1, Took: 10 * ms})
+	if logs := only[Log](s.ticks(5 * time.Second)); len(logs) != 0 {
+		t.Fatalf("got %v", logs)
+	}
+}
+
+func TestFailingServerIsSetAside(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0, 0, 0, 1)
+	bad := map[ServerID]int{}
+	for id := range RequestID(60) {
+		acts := s.do(10*ms, s.request(id+1, 0))
+		for attempt := 0; ; attempt++ {
+			send := s.sent(acts)
+			if send.Server != 1 {
+				s.read(send, attempt)
+				break
+			}
+			bad[1]++
+			acts = s.do(ms, Outcome{ID: id + 1, Attempt: attempt, Server: 1, Result: Failed})
+		}
+	}
+	if bad[1] == 0 || bad[1] > 5 {
+		t.Fatalf("%d sends to a server that fails them all", bad[1])
+	}
+}
+
+func TestTenantBeyondItsAllowanceStandsBehind(t *testing.T) {
+	set := settings(Reader, Writer)
+	set.Tenants = []Tenant{{Allowance: 1}, {Allowance: 1000}}
+	set.KindMemory = []float64{0, 1500} // room for one request
+	s := start(t, set, 0, 1)
+	s.do(0, s.request(1, 0))
+	var events []Event
+	for id := RequestID(2); id < 12; id++ {
+		events = append(events, s.request(id, 0))
+	}
+	last := s.request(12, 0)
+	last.Tenant = 1
+	s.do(0, append(events, last)...)
+	s.read(Send{ID: 1, Server: 1}, 0)
+	var order []RequestID
+	for id := RequestID(1); len(order) < 6; {
+		acts := s.do(10*ms, Outcome{ID: id, Attempt: 1, Server: 2, Result: OK, Took: 10 * ms, Final: true})
+		id = s.sent(acts).ID
+		order = append(order, id)
+		s.read(Send{ID: id, Server: 1}, 0)
+	}
+	if i := slices.Index(order, 12); i < 0 || i > 4 {
+		t.Fatalf("order %v", order)
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() []Action {
+		s := start(t, settings(Reader, Writer, Mixed), 0, 0, 1, 1, 2)
+		for id := range RequestID(200) {
+			for _, send := range only[Send](s.do(5*ms, s.request(id+1, int(id%3)), Timer{})) {
+				result := []Result{ReadDone, Failed, Reset, Full}[int(id)%4]
+				s.do(ms, Outcome{ID: send.ID, Server: send.Server, Result: result, Took: ms})
+			}
+		}
+		return s.acts
+	}
+	if a, b := run(), run(); !reflect.DeepEqual(a, b) {
+		t.Fatal("two runs of the same events differ")
+	}
+}
--- /dev/null
+++ b/internal/wire/records.go
@@ -0,0 +1,275 @@
+package wire
+
+import (
+	"fmt"
+
+	"martenlock/control"
+)
+
+// The codes of events.
+const (
+	evStart   uint8 = 1
+	evMembers uint8 = 2
+	evRequest uint8 = 3
+	evStarted uint8 = 4
+	evOutcome uint8 = 5
+	evGone    uint8 = 6
+	evTimer   uint8 = 7
+	evProbed  uint8 = 8
+	evPeer    uint8 = 9
+	evStop    uint8 = 10
+	evPlace   uint8 = 11
+	evTable   uint8 = 12
+)
+
+// The codes of actions.
+const (
+	acFail    uint8 = 1
+	acProbe   uint8 = 2
+	acRefuse  uint8 = 3
+	acWatch   uint8 = 4
+	acSend    uint8 = 8
+	acError   uint8 = 9
+	acRelease uint8 = 11
+	acCancel  uint8 = 12
+	acTimer   uint8 = 14
+	acLog     uint8 = 15
+)
+
+// bitResumed marks a request whose broken stream comes back.
+const bitResumed = 16
+
+// body codes the code of a record, its router and its fields. Reading, it
+// starts from the zero T.
+func body[T any](c *coder, router *uint16, slot *any, fields func(*coder, *T)) {
+	var v T
+	if c.writing {
+		v = (*slot).(T)
+	}
+	num(c, router)
+	fields(c, &v)
+	*slot = v
+}
+
+func (e *Event) code() uint8 {
+	switch e.Body.(type) {
+	case Start:
+		return evStart
+	case Members:
+		return evMembers
+	case control.Request:
+		return evRequest
+	case control.Started:
+		return evStarted
+	case control.Outcome:
+		return evOutcome
+	case control.ClientGone:
+		return evGone
+	case control.Timer:
+		return evTimer
+	case control.ProbeResult:
+		return evProbed
+	case Peer:
+		return evPeer
+	case Stop:
+		return evStop
+	case control.PlaceResult:
+		return evPlace
+	case Table:
+		return evTable
+	}
+	return 0
+}
+
+func (e *Event) event(c *coder) {
+	code := e.code()
+	num(c, &code)
+	if c.err != nil {
+		return
+	}
+	switch code {
+	case evStart:
+		body(c, &e.Router, &e.Body, func(c *coder, v *Start) {
+			num(c, &v.Seed)
+			blob[uint32](c, &v.Info)
+		})
+	case evMembers:
+		body(c, &e.Router, &e.Body, members)
+	case evRequest:
+		body(c, &e.Router, &e.Body, request)
+	case evStarted:
+		body(c, &e.Router, &e.Body, func(c *coder, v *control.Started) {
+			num(c, &v.ID)
+			span(c, &v.Took)
+			server(c, &v.Server)
+			index[uint16](c, &v.Attempt)
+		})
+	case evOutcome:
+		body(c, &e.Router, &e.Body, outcome)
+	case evGone:
+		body(c, &e.Router, &e.Body, func(c *coder, v *control.ClientGone) { num(c, &v.ID) })
+	case evTimer:
+		body(c, &e.Router, &e.Body, func(c *coder, v *control.Timer) { num(c, &v.Token) })
+	case evProbed:
+		body(c, &e.Router, &e.Body, func(c *coder, v *control.ProbeResult) {
+			server(c, &v.Server)
+			result(c, &v.Result)
+			span(c, &v.Took)
+			report(c, &v.Report)
+		})
+	case evPeer:
+		body(c, &e.Router, &e.Body, func(c *coder, v *Peer) {
+			num(c, &v.From)
+			blob[uint16](c, &v.Data)
+		})
+	case evStop:
+		body(c, &e.Router, &e.Body, func(*coder, *Stop) {})
+	case evPlace:
+		body(c, &e.Router, &e.Body, place)
+	case evTable:
+		e.Body = table(c, e.Body)
+	default:
+		c.err = fmt.Errorf("unknown event code %d", code)
+	}
+}
+
+func members(c *coder, v *Members) {
+	num(c, &v.Version)
+	num(c, &v.Table)
+	num(c, &v.Scope)
+	if c.err == nil && v.Scope > ScopeFailed {
+		c.err = fmt.Errorf("unknown scope %d of a server list", v.Scope)
+	}
+}
+
+func request(c *coder, v *control.Request) {
+	var hint uint32
+	var bits uint8
+	if v.Resumed {
+		bits = bitResumed
+	}
+	num(c, &v.ID)
+	index[uint8](c, &v.Class)
+	index[uint16](c, &v.Tenant)
+	num(c, &hint)
+	float(c, &v.PrefixLen)
+	float(c, &v.MaxTokens)
+	num(c, &v.Prefix)
+	num(c, &v.Session)
+	num(c, &v.Deadline)
+	num(c, &bits)
+	float(c, &v.PromptLen)
+	v.Resumed = bits&bitResumed != 0
+}
+
+func outcome(c *coder, v *control.Outcome) {
+	num(c, &v.ID)
+	index[uint16](c, &v.Attempt)
+	server(c, &v.Server)
+	result(c, &v.Result)
+	span(c, &v.Took)
+	flag(c, &v.Final)
+	num(c, &v.Note)
+	report(c, &v.Report)
+}
+
+func place(c *coder, v *control.PlaceResult) {
+	what, value := uint8(2), 0.0
+	if v.Held {
+		what = 1
+	}
+	num(c, &v.ID)
+	index[uint16](c, &v.Attempt)
+	server(c, &v.Server)
+	num(c, &what)
+	float(c, &value)
+	v.Held = what == 1
+}
+
+func table(c *coder, slot any) Table {
+	t, _ := slot.(Table)
+	n := uint32(len(t.Servers))
+	num(c, &t.Number)
+	num(c, &n)
+	for i := 0; i < int(n) && c.err == nil; i++ {
+		if !c.writing {
+			t.Servers = append(t.Servers, control.Server{})
+		}
+		entry(c, &t.Servers[i])
+	}
+	return t
+}
+
+func (a *Action) code() uint8 {
+	switch a.Body.(type) {
+	case control.Fail:
+		return acFail
+	case control.Probe:
+		return acProbe
+	case control.Refuse:
+		return acRefuse
+	case control.WatchFleet:
+		return acWatch
+	case control.Send:
+		return acSend
+	case InternalError:
+		return acError
+	case control.Release:
+		return acRelease
+	case control.Cancel:
+		return acCancel
+	case control.SetTimer:
+		return acTimer
+	case control.Log:
+		return acLog
+	}
+	return 0
+}
+
+func (a *Action) action(c *coder) {
+	code := a.code()
+	num(c, &code)
+	if c.err != nil {
+		return
+	}
+	switch code {
+	case acFail:
+		body(c, &a.Router, &a.Body, func(c *coder, v *control.Fail) { num(c, &v.ID) })
+	case acProbe:
+		body(c, &a.Router, &a.Body, func(c *coder, v *control.Probe) { server(c, &v.Server) })
+	case acRefuse:
+		body(c, &a.Router, &a.Body, func(c *coder, v *control.Refuse) {
+			num(c, &v.ID)
+			span(c, &v.RetryAfter)
+		})
+	case acWatch:
+		body(c, &a.Router, &a.Body, func(c *coder, _ *control.WatchFleet) {
+			on := true
+			flag(c, &on)
+		})
+	case acSend:
+		body(c, &a.Router, &a.Body, func(c *coder, v *control.Send) {
+			num(c, &v.ID)
+			span(c, &v.Timeout)
+			server(c, &v.Server)
+		})
+	case acError:
+		body(c, &a.Router, &a.Body, func(c *coder, v *InternalError) { text(c, &v.Text) })
+	case acRelease:
+		body(c, &a.Router, &a.Body, func(c *coder, v *control.Release) { num(c, &v.ID) })
+	case acCancel:
+		body(c, &a.Router, &a.Body, func(c *coder, v *control.Cancel) {
+			num(c, &v.ID)
+			index[uint16](c, &v.Attempt)
+		})
+	case acTimer:
+		body(c, &a.Router, &a.Body, func(c *coder, v *control.SetTimer) {
+			num(c, &v.Token)
+			span(c, &v.After)
+		})
+	case acLog:
+		body(c, &a.Router, &a.Body, func(c *coder, v *control.Log) { text(c, &v.Text) })
+	default:
+		c.err = fmt.Errorf("unknown action code %d", code)
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,154 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"martenlock/control"
+)
+
+func sampleBatch() Batch {
+	id := control.ServerID(0x0a124a07<<16 | 0x1b5b)
+	return Batch{Clock: 8412250, Number: 12, Records: []Event{
+		{Router: 3, Body: Start{Seed: 9, Info: []byte("{}")}},
+		{Body: Table{Number: 2, Servers: []control.Server{{ID: id, State: control.Ready, Kind: 1, Cell: 2, Zone: 1,
+			Weight: 1.5, Since: 77}}}},
+		{Router: 3, Body: Members{Version: 4, Table: 2, Scope: ScopeCached}},
+		{Router: 3, Body: control.Request{ID: 7, Class: 1, Tenant: 2, Session: 5, Prefix: 6, PrefixLen: 100,
+			PromptLen: 200, MaxTokens: 50, Deadline: 99, Resumed: true}},
+		{Router: 3, Body: control.Started{ID: 7, Server: id, Attempt: 1, Took: 5 * time.Millisecond}},
+		{Router: 3, Body: control.PlaceResult{ID: 7, Attempt: 1, Server: id, Held: true}},
+		{Router: 3, Body: control.Outcome{ID: 7, Attempt: 1, Server: id, Result: control.ReadDone,
+			Took: time.Second, Final: true, Note: 3, Report: []float64{0.5, 2}}},
+		{Router: 3, Body: control.ClientGone{ID: 7}},
+		{Router: 3, Body: control.Timer{Token: 4}},
+		{Router: 3, Body: control.ProbeResult{Server: id, Result: control.TimedOut, Took: time.Second}},
+		{Router: 3, Body: Peer{From: 1, Data: []byte("hi")}},
+		{Router: 3, Body: Stop{}},
+	}}
+}
+
+func TestBatchRoundTrip(t *testing.T) {
+	want := sampleBatch()
+	frame, err := AppendBatch(nil, want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := ReadFrame(bytes.NewReader(frame))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := ParseBatch(read)
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Fatalf("got %+v, %v\nwant %+v", got, err, want)
+	}
+}
+
+func TestReplyRoundTrip(t *testing.T) {
+	want := Reply{Number: 12, Records: []Action{
+		{Router: 1, Body: control.Send{ID: 7, Server: 1<<40 | 9, Timeout: time.Second}},
+		{Router: 1, Body: control.Refuse{ID: 7, RetryAfter: time.Second}},
+		{Router: 1, Body: control.Fail{ID: 7}},
+		{Router: 1, Body: control.Release{ID: 7}},
+		{Router: 1, Body: control.Cancel{ID: 7, Attempt: 2}},
+		{Router: 1, Body: control.SetTimer{Token: 3, After: time.Second}},
+		{Router: 1, Body: control.Probe{Server: 5}},
+		{Router: 1, Body: control.WatchFleet{}},
+		{Router: 1, Body: control.Log{Text: "two"}},
+		{Router: 1, Body: InternalError{Text: "index"}},
+	}}
+	frame, err := AppendReply(nil, want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := ParseReply(frame); err != nil || !reflect.DeepEqual(got, want) {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+}
+
+// TestRequestLayout checks a record's bytes against a layout written by hand.
+func TestRequestLayout(t *testing.T) {
+	frame, err := AppendBatch(nil, Batch{Clock: 1, Records: []Event{{Router: 3, Body: control.Timer{Token: 0x4d}}}})
+	want := []byte{1, 0, 0, 0, 0, 0, 0, 0, 31, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 7, 3, 0, 0x4d, 0, 0, 0, 0, 0, 0, 0}
+	if err != nil || !bytes.Equal(frame, want) {
+		t.Fatalf("got %v, %v", frame, err)
+	}
+}
+
+func TestBadFrames(t *testing.T) {
+	good, err := AppendBatch(nil, sampleBatch())
+	if err != nil {
+		t.Fatal(err)
+	}
+	edit := func(at int, value byte) []byte {
+		frame := bytes.Clone(good)
+		frame[at] = value
+		return frame
+	}
+	for name, frame := range map[string][]byte{
+		"short header":     good[:10],
+		"short body":       good[:len(good)-1],
+		"length too small": edit(8, 0)[:20],
+		"too many records": edit(12, 200),
+		"too few records":  edit(12, 1),
+		"unknown code":     edit(20, 99),
+		"oversized":        edit(11, 0xff),
+	} {
+		read, err := ReadFrame(bytes.NewReader(frame))
+		if err == nil {
+			_, err = ParseBatch(read)
+		}
+		if err == nil || errors.Is(err, io.EOF) {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+}
+
+func TestSettings(t *testing.T) {
+	info := `{"Balancers": 2, "NewKey": {"a": 1}, "FamilyInfo": {"KindRole": ["read", "both"], "TokensByKind": [5],
+		"ReportX0": "share of memory that is held", "ReportX1": "thousands of prompt tokens waiting"},
+		"LoadReport": {"Fields": ["rif", "lat_ms", "x1", "x0"]}, "Limits": {"MaxRetryAfterUs": 1000},
+		"RequestClasses": [{"AimUs": 1000, "Effect": "at_most_once"}]}`
+	got, err := ParseSettings(Start{Seed: 4, Info: []byte(info)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Routers != 2 || got.Seed != 4 || got.MaxRetryAfter != 0 ||
+		!reflect.DeepEqual(got.KindRole, []control.Role{control.Reader, control.Mixed}) ||
+		!reflect.DeepEqual(got.KindMemory, []float64{5, 0}) ||
+		!reflect.DeepEqual(got.Fields, []control.Field{control.FieldInFlight, control.FieldOther, control.FieldBacklog,
+			control.FieldMemory}) ||
+		got.Classes[0].Effect != control.Unsafe || got.Classes[0].Aim != time.Millisecond {
+		t.Fatalf("got %+v", got)
+	}
+	for _, bad := range []string{"", "[]", `{"FamilyInfo": {"KindRole": ["paint"]}}`,
+		`{"RequestClasses": [{"Effect": "?"}]}`} {
+		if _, err := ParseSettings(Start{Info: []byte(bad)}); err == nil || !strings.Contains(err.Error(), "settings") {
+			t.Errorf("%q: error %v", bad, err)
+		}
+	}
+}
+
+func FuzzParseBatch(f *testing.F) {
+	good, err := AppendBatch(nil, sampleBatch())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		batch, err := ParseBatch(frame)
+		if err != nil {
+			return
+		}
+		again, err := AppendBatch(nil, batch)
+		if err != nil || len(again) != len(frame) {
+			t.Fatalf("%d bytes became %d, %v", len(frame), len(again), err)
+		}
+	})
+}
