--- a/control/control.go
+++ b/control/control.go
@@ -491,7 +491,7 @@
 	s.out = append(s.out, q)
 	s.windowSent += r.work[q.Class]
 	timeout := q.Deadline.Sub(r.now)
-	if q.attempts < r.set.MaxAttempts && (s.role == Reader || q.class.Effect != Unsafe) {
+	if !r.set.MayCancel && q.attempts < r.set.MaxAttempts && (s.role == Reader || q.class.Effect != Unsafe) {
 		timeout = time.Duration(retryShare * float64(timeout))
 	}
 	if s.aside() {
@@ -531,9 +531,9 @@
 		s.streams--
 		s.tokens -= q.need
 	}
-	s.signAt = r.now
 	r.report(s, ev.Report)
 	r.judge(q, s, ev)
+	s.signAt = r.now
 	q.spent += ev.Took
 	switch ev.Result {
 	case ReadDone:
@@ -663,7 +663,7 @@
 	case Failed:
 		r.bad(s, illAlpha, "errors")
 	case TimedOut:
-		if !q.started {
+		if s.signAt < q.sentAt {
 			r.bad(s, illAlpha, "time-outs")
 		}
 	case ConnectFailed, Reset:
