--- a/control/control.go
+++ b/control/control.go
@@ -35,22 +35,23 @@
 
 // Values that the design leaves open.
 const (
-	memoryPart  = 1.6  // our part of a silent writer's memory, over 1/routers: clients spread unevenly
-	outShare    = 0.3  // share of MaxTokens that an answer is taken to need, before it is known
-	sendsKept   = 0.5  // share of our sends that a new report is taken not to show yet
-	minWeight   = 0.01 // a server's weight is taken as at least this
-	fewReads    = 3.0  // reads at one reader that are never too many
-	mixedPart   = 0.6  // what a mixed server answers whole, against a writer's answers
-	unitBase    = 500  // tokens; fixed cost of a read, in prompt tokens
-	unitAlpha   = 0.2  // weight of a new sample in a server's times
-	meanAlpha   = 0.05 // weight of a new sample in the means over all requests
-	etaMargin   = 1.25 // an estimate is trusted up to this factor: refused early beats failed late
-	illAlpha    = 0.3  // weight of one outcome in a server's share of failures
-	illAt       = 0.35 // share of failures above which a server is set aside: two of the last four
-	slowAt      = 3.0  // times the role's median time above which a server is set aside
-	slowSamples = 5    // times seen before slowness is believed
-	asideCap    = 0.5  // share of a role that may be set aside for errors or slowness
-	coldMargin  = 0.25 // share of the fall-over budget that is spent: windows may meet, neighbours send too
+	memoryPart   = 1.6  // our part of a silent writer's memory, over 1/routers: clients spread unevenly
+	outShare     = 0.3  // share of MaxTokens that an answer is taken to need, before it is known
+	sendsKept    = 0.5  // share of our sends that a new report is taken not to show yet
+	minWeight    = 0.01 // a server's weight is taken as at least this
+	fewReads     = 3.0  // reads at one reader that are never too many
+	mixedPart    = 0.6  // what a mixed server answers whole, against a writer's answers
+	unitBase     = 500  // tokens; fixed cost of a read, in prompt tokens
+	unitAlpha    = 0.2  // weight of a new sample in a server's times
+	meanAlpha    = 0.05 // weight of a new sample in the means over all requests
+	etaMargin    = 1.25 // an estimate is trusted up to this factor: refused early beats failed late
+	illAlpha     = 0.3  // weight of one outcome in a server's share of failures
+	silentWeight = 0.5  // what a long silence adds to that share: aside until two attempts go well
+	illAt        = 0.35 // share of failures above which a server is set aside: two of the last four
+	slowAt       = 3.0  // times the role's median time above which a server is set aside
+	slowSamples  = 5    // times seen before slowness is believed
+	asideCap     = 0.5  // share of a role that may be set aside for errors or slowness
+	coldMargin   = 0.25 // share of the fall-over budget that is spent: windows may meet, neighbours send too
 
 	trialFirst  = time.Second            // wait before a server set aside gets a trial
 	trialMost   = 4 * time.Second        // and the longest wait between trials
@@ -61,6 +62,7 @@
 	probeEvery  = time.Second            // between probes of one server, and between sweeps of the tables
 	reportStale = 4 * time.Second        // an older load report is no longer believed
 	retryShare  = 0.6                    // part of the time left that one attempt may take: another must fit
+	shyFor      = 4 * time.Second        // a server back in reach counts as cold for this: then a start is known
 	fullPause   = 200 * time.Millisecond // a server that turned us away rests for this long
 )
 
@@ -80,7 +82,7 @@
 	sentAt       Time
 	holder       *server // the reader whose memory holds the state
 	spent        time.Duration
-	toRead       float64   // tokens that its server was thought to have to read
+	toRead       float64   // tokens that its server has to read, as far as is known, or to fetch
 	need         float64   // tokens of writer memory
 	ranOn        *server   // where an attempt first may have had its effect,
 	ranAt        Time      // and when that was sent
@@ -106,21 +108,19 @@
 	free, sent     float64    // tokens of room that are ours, by reports; tokens sent since
 	heardAt        Time       // latest load report; 0 for never
 
-	unit       float64 // seconds to the end of a read or the first token, per token
-	duration   float64 // of an answer, over the mean of its class
-	samples    int
-	sampleAt   Time
-	signAt     Time    // last outcome or start of an answer
-	ill        float64 // share of recent attempts that failed
-	lost       bool    // was out of reach when last tried
-	nextTrial  Time
-	trialWait  time.Duration
-	restUntil  Time // it turned us away
-	coldAt     Time // start, or return from being out of reach
-	windowAt   Time // start of the present window of the cold budget
-	windowSent float64
-	probeAt    Time
-	probing    bool
+	unit                 float64 // seconds to the end of a read or the first token, per token
+	pace                 float64 // its better times: a read's a token, or an answer's over the mean of its class
+	samples              int
+	sampleAt, signAt     Time    // signAt: last outcome or start of an answer
+	ill                  float64 // share of recent attempts that failed
+	lost                 bool    // was out of reach when last tried
+	trialWait            time.Duration
+	nextTrial, restUntil Time // restUntil: it turned us away
+	coldAt               Time // start, or return from being out of reach
+	windowAt             Time // start of the present window of the cold budget
+	windowSent           float64
+	probeAt              Time
+	probing              bool
 }
 
 // Router decides for one router. It is not safe for concurrent use.
@@ -396,7 +396,8 @@
 // the first in the order that the request's prefix hashes to. A server that is
 // set aside and due for a trial is taken first; where none fits, the least loaded.
 func (r *Router) pickReader(q *request) *server {
-	medians := [3]float64{r.median(Reader, (*server).load), 0, r.median(Mixed, (*server).load)}
+	medians := [3]float64{Reader: r.median(Reader, (*server).load),
+		Mixed: mixedPart * r.median(Writer, (*server).load)}
 	fits := func(s *server) bool {
 		if !r.usable(s, q) || s.load()*s.Weight >= fewReads && s.load() > overMedian*medians[s.role] {
 			return false
@@ -407,10 +408,7 @@
 	if last := q.session.last; last != nil && fits(last) {
 		return last
 	}
-	key := q.Prefix
-	if key == 0 {
-		key = q.Session
-	}
+	key := cmp.Or(q.Prefix, q.Session)
 	var best, spare *server
 	bestScore := 0.0
 	for _, s := range r.order {
@@ -431,10 +429,7 @@
 			spare = s
 		}
 	}
-	if best == nil {
-		return spare
-	}
-	return best
+	return cmp.Or(best, spare)
 }
 
 // rank scores a server for a key by weighted rendezvous hashing: all routers
@@ -484,7 +479,9 @@
 		s.tokens += q.need
 		s.sent += q.need
 	}
-	q.toRead = r.uncached(q, s)
+	if q.toRead = q.PromptLen; q.holder == nil {
+		q.toRead = r.uncached(q, s)
+	}
 	if s.role != Writer {
 		q.session.last, q.session.length = s, q.PromptLen
 	}
@@ -506,12 +503,8 @@
 		return
 	}
 	s.signAt = r.now
-	tokens := q.PromptLen
-	if q.holder == nil {
-		tokens = q.toRead
-	}
+	r.sample(s, ev.Took.Seconds(), q.toRead)
 	q.started, q.holder = true, nil
-	r.sample(s, ev.Took.Seconds(), tokens)
 }
 
 // outcome takes in the end of an attempt, late ones too.
@@ -607,22 +600,21 @@
 // harmless, else a failure.
 func (r *Router) giveUp(q *request) {
 	if q.ranOn == nil || q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Scope == ScopeAll {
-		after := min(r.set.MaxRetryAfter, max(r.eta(q), tickEvery)) // MaxRetryAfter is 0 where clients are not told
-		r.do(Refuse{ID: q.ID, RetryAfter: after})
+		r.do(Refuse{ID: q.ID, RetryAfter: min(r.set.MaxRetryAfter, max(r.eta(q), tickEvery))})
 	} else {
 		r.do(Fail{ID: q.ID})
 	}
 	r.end(q)
 }
 
-// end closes a request and lets go of what is held for it. While an attempt
-// waits for the state that does nothing, so it is said again on the outcome.
+// end closes a request and lets go of whatever may be held for it, known or not:
+// a state behind a cut link outlives the word that it is gone. Said again on the late outcome.
 func (r *Router) end(q *request) {
 	if !q.ended && q.attempts == 0 && q.pos >= 0 {
 		heap.Remove(&r.held, q.pos)
 	}
 	q.ended = true
-	if q.holder != nil {
+	if q.attempts > 0 && !q.started {
 		r.do(Release{ID: q.ID})
 	}
 	if !q.out {
@@ -654,12 +646,10 @@
 	case OK:
 		r.good(s)
 		blend(&r.duration[q.Class], ev.Took.Seconds(), meanAlpha)
-		s.duration += unitAlpha / 2 * (ev.Took.Seconds()/r.duration[q.Class] - s.duration)
-		r.checkSlow(s, func(s *server) float64 { return s.duration })
+		r.checkSlow(s, ev.Took.Seconds()/r.duration[q.Class])
 	case ReadDone:
 		r.good(s)
-		r.sample(s, ev.Took.Seconds(), max(q.PromptLen-float64(ev.Note), 0))
-		r.checkSlow(s, func(s *server) float64 { return s.unit })
+		r.checkSlow(s, r.sample(s, ev.Took.Seconds(), max(q.PromptLen-float64(ev.Note), 0)))
 	case Failed:
 		r.bad(s, illAlpha, "errors")
 	case TimedOut:
@@ -667,7 +657,8 @@
 			r.bad(s, illAlpha, "time-outs")
 		}
 	case ConnectFailed, Reset:
-		r.unreachable(s, "out of reach")
+		s.lost = true
+		r.bad(s, 1, "out of reach")
 	case Full:
 		if ev.Note == 0 {
 			s.restUntil = r.now.Add(fullPause)
@@ -676,10 +667,10 @@
 }
 
 // good notes an attempt that went well. A server that was out of reach is back
-// at once, but may be a new process, so it counts as cold.
+// at once, but may be a new process, so it counts as cold until the list must have told.
 func (r *Router) good(s *server) {
 	if s.lost {
-		s.lost, s.ill, s.coldAt = false, illAt, max(s.coldAt, r.now)
+		s.lost, s.ill, s.coldAt = false, illAt, max(s.coldAt, r.now.Add(shyFor-r.set.ColdFor))
 	}
 	s.nextTrial = r.now
 	s.ill *= 1 - illAlpha
@@ -703,25 +694,19 @@
 	s.nextTrial = r.now.Add(s.trialWait)
 }
 
-// unreachable sets aside at once a server that gives no sign of life.
-func (r *Router) unreachable(s *server, why string) {
-	s.lost = true
-	r.bad(s, 1, why)
-}
-
 // crowded tells that so much of a role is aside that no more may follow for
 // errors or slowness: a fault that most share is not the servers'.
 func (r *Router) crowded(s *server) bool {
-	all, aside := 0.0, 1.0
+	all, well := 0.0, 0.0
 	for _, t := range r.order {
 		if t.role == s.role && t.State == Ready {
 			all++
-			if t != s && t.aside() {
-				aside++
+			if t != s && !t.aside() {
+				well++
 			}
 		}
 	}
-	return aside > all*asideCap
+	return well < all*(1-asideCap)
 }
 
 // median of a figure over the well servers of a role; 0 if there are none.
@@ -733,25 +718,32 @@
 		}
 	}
 	slices.Sort(list)
-	if len(list) > 0 {
-		return list[len(list)/2]
-	}
-	return 0
+	list = append(list, 0)
+	return list[(len(list)-1)/2]
 }
 
 // sample takes in the time to the end of a read or to a first token.
-func (r *Router) sample(s *server, seconds, tokens float64) {
+func (r *Router) sample(s *server, seconds, tokens float64) (unit float64) {
+	unit = seconds / (tokens + unitBase)
 	if r.now.Sub(s.sampleAt) > 2*statAge {
 		s.unit = 0
 	}
-	blend(&s.unit, seconds/(tokens+unitBase), unitAlpha)
-	s.samples++
+	blend(&s.unit, unit, unitAlpha)
 	s.sampleAt = r.now
+	return unit
 }
 
-// checkSlow sets aside a server that is slow against its role.
-func (r *Router) checkSlow(s *server, figure func(*server) float64) {
-	if m := r.median(s.role, figure); s.samples >= slowSamples && m > 0 && figure(s) > slowAt*m {
+// checkSlow sets aside a server that is slow against its role. It looks at the
+// better times of each, which a queue in front of a sound server leaves alone.
+func (r *Router) checkSlow(s *server, value float64) {
+	alpha := unitAlpha / 2
+	if value < s.pace {
+		alpha = 0.5
+	}
+	blend(&s.pace, value, alpha)
+	s.samples++
+	median := r.median(s.role, func(t *server) float64 { return t.pace })
+	if s.samples >= slowSamples && median > 0 && value > slowAt*median && s.pace > slowAt*median {
 		r.bad(s, illAlpha, "slow")
 	}
 }
@@ -817,13 +809,19 @@
 	if i < 0 {
 		return
 	}
-	usual := r.median(s.role, func(t *server) float64 { return t.unit }) * (s.out[i].PromptLen + unitBase)
+	tokens := 0.0
+	for _, q := range s.out {
+		if !q.started {
+			tokens += q.toRead + unitBase
+		}
+	}
+	usual := r.median(s.role, func(t *server) float64 { return t.unit }) * tokens
 	patience := max(silenceMin, time.Duration(silenceRole*usual*float64(time.Second)))
-	if r.now.Sub(max(s.signAt, s.out[i].sentAt)) < patience {
+	if r.now.Sub(max(s.signAt, s.out[i].sentAt)) < patience || r.crowded(s) {
 		return
 	}
-	r.unreachable(s, "silent")
 	s.signAt = r.now
+	r.bad(s, silentWeight, "silent")
 	for _, q := range s.out {
 		if r.set.MayCancel && !q.ended && !q.started && q.attempts < r.set.MaxAttempts &&
 			(s.role == Reader || q.class.Effect == Safe) {
@@ -841,7 +839,8 @@
 	}
 	s.probing = false
 	if r.report(s, ev.Report); ev.Result == TimedOut || ev.Result == ConnectFailed || ev.Result == Reset {
-		r.unreachable(s, "probe unanswered")
+		s.lost = true
+		r.bad(s, 1, "probe unanswered")
 	}
 }
 
@@ -885,13 +884,13 @@
 		listed[e.ID] = true
 		s := r.servers[e.ID]
 		if s == nil {
-			s = &server{trialWait: trialFirst, duration: 1}
+			s = &server{trialWait: trialFirst}
 			r.servers[e.ID] = s
 			r.order = append(r.order, s)
 		}
 		if e.Since > s.coldAt && e.State == Ready { // a new process: what we knew is void
 			s.coldAt, s.ill, s.lost, s.samples, s.trialWait = e.Since, 0, false, 0, trialFirst
-			s.windowSent, s.unit, s.duration = 0, 0, 1
+			s.windowSent, s.unit, s.pace = 0, 0, 0
 		}
 		e.Weight = max(e.Weight, minWeight)
 		s.Server = e
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -255,6 +255,10 @@
 	if again := s.sent(acts); again.Server != 1 {
 		t.Fatalf("sent to %d", again.Server)
 	}
+	done := s.do(10*ms, Outcome{ID: 1, Attempt: 2, Server: 1, Result: TimedOut, Took: 10 * ms}, ClientGone{ID: 1})
+	if len(only[Release](done)) == 0 {
+		t.Fatal("the first state stays if it was behind a cut link")
+	}
 	if len(only[Release](acts)) != 1 {
 		t.Fatalf("a state that only this writer can't reach stays: %v", acts)
 	}
@@ -342,3 +346,40 @@
 		t.Fatal("two runs of the same events differ")
 	}
 }
+
+func TestMixedServerTakesNoMoreThanItsShare(t *testing.T) {
+	s := start(t, settings(Reader, Writer, Mixed), 0, 1, 1, 2)
+	mixed := 0
+	for id := range RequestID(40) {
+		q := s.request(id+1, 0)
+		q.Prefix = uint64(id % 2) // few prefixes: one of them may well hash to the mixed server
+		send := s.sent(s.do(10*ms, q))
+		if send.Server == 4 {
+			mixed++
+			continue
+		}
+		s.read(send, 0)
+	}
+	if mixed > 12 {
+		t.Fatalf("%d of 40 answers at the one mixed server beside two writers", mixed)
+	}
+}
+
+func TestSilentServerIsNotTakenForColdWhenItAnswers(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0, 1)
+	s.do(0, s.request(1, 0))
+	s.ticks(600 * ms)
+	s.do(0, Outcome{ID: 1, Attempt: 0, Server: 1, Result: ReadDone, Took: 600 * ms})
+	sends := 0
+	for id := RequestID(2); id < 12; id++ {
+		for _, send := range only[Send](s.do(300*ms, s.request(id, 0), Timer{})) {
+			if send.Server == 1 {
+				sends++
+				s.read(send, 0)
+			}
+		}
+	}
+	if sends < 6 {
+		t.Fatalf("%d of 10 requests sent to a reader that answers again", sends)
+	}
+}
