--- a/control/control.go
+++ b/control/control.go
@@ -43,6 +43,7 @@
 	mixedPart    = 0.6  // what a mixed server answers whole, against a writer's answers
 	unitBase     = 500  // tokens; fixed cost of a read, in prompt tokens
 	unitAlpha    = 0.2  // weight of a new sample in a server's times
+	rateFade     = 0.98 // a role's best rate of work fades by this each second
 	meanAlpha    = 0.05 // weight of a new sample in the means over all requests
 	etaMargin    = 1.25 // an estimate is trusted up to this factor: refused early beats failed late
 	illAlpha     = 0.3  // weight of one outcome in a server's share of failures
@@ -69,24 +70,24 @@
 // request is one client request while we owe an answer or an attempt is out.
 type request struct {
 	Request
-	class        *Class
-	session      *session
-	arrived, aim Time // aim: first token wanted by then
-	seq          uint64
-	pos          int  // in the heap; -1 outside
-	lifted, over bool // over: its tenant is beyond its allowance
-	ended        bool // answered; kept only while an attempt is out
-	attempts     int
-	out, started bool // an attempt is out; its answer streams
-	at           *server
-	sentAt       Time
-	holder       *server // the reader whose memory holds the state
-	spent        time.Duration
-	toRead       float64   // tokens that its server has to read, as far as is known, or to fetch
-	need         float64   // tokens of writer memory
-	ranOn        *server   // where an attempt first may have had its effect,
-	ranAt        Time      // and when that was sent
-	shunned      []*server // failed it before
+	class            *Class
+	session          *session
+	arrived, aim     Time // aim: first token wanted by then
+	seq              uint64
+	pos              int  // in the heap; -1 outside
+	lifted, over     bool // over: its tenant is beyond its allowance
+	ended            bool // answered; kept only while an attempt is out
+	attempts         int
+	out, started     bool // an attempt is out; its answer streams
+	at               *server
+	sentAt, restedAt Time    // of the latest attempt: its start and its end
+	holder           *server // the reader whose memory holds the state
+	spent            time.Duration
+	toRead           float64   // tokens that its server has to read, as far as is known, or to fetch
+	need             float64   // tokens of writer memory
+	ranOn            *server   // where an attempt first may have had its effect,
+	ranAt            Time      // and when that was sent
+	shunned          []*server // failed it before
 }
 
 // session is a row of the session table.
@@ -115,10 +116,10 @@
 	ill                  float64 // share of recent attempts that failed
 	lost                 bool    // was out of reach when last tried
 	trialWait            time.Duration
-	nextTrial, restUntil Time // restUntil: it turned us away
-	coldAt               Time // start, or return from being out of reach
-	windowAt             Time // start of the present window of the cold budget
-	windowSent           float64
+	nextTrial, restUntil Time    // restUntil: it turned us away
+	coldAt               Time    // start, or return from being out of reach
+	credit, done         float64 // work that it may be sent while cold; work that it finished for us lately
+	creditAt             Time
 	probeAt              Time
 	probing              bool
 }
@@ -134,6 +135,7 @@
 	sessions   map[uint64]*session
 	requests   map[RequestID]*request
 	held       queue
+	resting    []*request // read, and no writer takes them now
 	seq        uint64
 	ticking    bool
 	need       float64    // mean tokens of a request
@@ -221,9 +223,8 @@
 	*mean += alpha * (value - *mean)
 }
 
-// overAllowance counts a request against its tenant and tells whether the
-// tenant sends us more than our part of what it is allowed. Such requests stand
-// behind all others, so they yield only while some are held.
+// overAllowance counts a request against its tenant and tells whether the tenant
+// sends us more than our part of its allowance. Such requests stand behind others.
 func (r *Router) overAllowance(tenant int) bool {
 	if tenant >= len(r.usage) || r.set.Tenants[tenant].Allowance <= 0 {
 		return false
@@ -241,8 +242,8 @@
 	return r.set.Tenants[tenant].Allowance * memoryPart / float64(r.set.Routers)
 }
 
-// queue is the heap of held requests: within the tenant's allowance first, then
-// lifted ones in order of arrival, then the lowest CST.
+// queue is the heap of held requests: within the tenant's allowance first, then lifted
+// ones in order of arrival, then the lowest CST.
 type queue []*request
 
 func (h queue) Len() int { return len(h) }
@@ -293,22 +294,21 @@
 // totalRoom adds up the room at writers and mixed servers, less reads under
 // way. A writer not heard from counts as the mean of the others.
 func (r *Router) totalRoom() (room float64, open bool) {
-	heard, unheard, reads := 0.0, 0.0, 0.0
+	all, heard, reads := 0.0, 0.0, 0.0
 	for _, s := range r.order {
 		reads += s.reads
 		if s.role == Reader || s.State != Ready || s.aside() {
 			continue
 		}
+		all++
 		if n, known := r.room(s); known {
 			room, heard = room+max(n, 0), heard+1
-		} else {
-			unheard++
 		}
 	}
 	if heard == 0 {
 		return 0, true
 	}
-	return room*(1+unheard/heard) - reads, false
+	return room*all/heard - reads, false
 }
 
 // room is how many more mean requests we may give a writer. known is false
@@ -324,9 +324,8 @@
 	return 0, false
 }
 
-// report takes in a load report: the RFC's room where the fields for it exist,
-// else annotated memory less what is held. Each neighbour sees the same room, so
-// we take our part of it.
+// report takes in a load report: the RFC's room where the fields for it exist, else annotated
+// memory less what is held. Each neighbour sees the same room, so we take our part of it.
 func (r *Router) report(s *server, values []float64) {
 	if len(values) == 0 || len(values) < len(r.set.Fields) {
 		return
@@ -392,9 +391,8 @@
 	return max(q.PromptLen-kept, 0)
 }
 
-// pickReader returns the session's last reader unless it is overloaded, else
-// the first in the order that the request's prefix hashes to. A server that is
-// set aside and due for a trial is taken first; where none fits, the least loaded.
+// pickReader returns the session's last reader unless it is overloaded, else the first that fits
+// in its prefix's order, else the least loaded. One due for a trial is taken first.
 func (r *Router) pickReader(q *request) *server {
 	medians := [3]float64{Reader: r.median(Reader, (*server).load),
 		Mixed: mixedPart * r.median(Writer, (*server).load)}
@@ -486,7 +484,7 @@
 		q.session.last, q.session.length = s, q.PromptLen
 	}
 	s.out = append(s.out, q)
-	s.windowSent += r.work[q.Class]
+	s.credit -= r.work[q.Class]
 	timeout := q.Deadline.Sub(r.now)
 	if !r.set.MayCancel && q.attempts < r.set.MaxAttempts && (s.role == Reader || q.class.Effect != Unsafe) {
 		timeout = time.Duration(retryShare * float64(timeout))
@@ -524,14 +522,14 @@
 		s.streams--
 		s.tokens -= q.need
 	}
+	q.restedAt = r.now
 	r.report(s, ev.Report)
 	r.judge(q, s, ev)
 	s.signAt = r.now
 	q.spent += ev.Took
-	switch ev.Result {
-	case ReadDone:
+	if ev.Result == ReadDone {
 		q.holder = s
-	case OK:
+	} else if ev.Result == OK {
 		q.session.cst += q.spent
 	}
 	if ev.Final || q.ended {
@@ -543,14 +541,9 @@
 
 // proceed decides what comes after an attempt that did not end its request.
 func (r *Router) proceed(q *request, s *server, ev Outcome) {
-	switch ev.Result {
-	case Failed, TimedOut, Reset, Cancelled:
-		if s.role != Reader && q.ranOn == nil {
-			q.ranOn, q.ranAt = s, q.sentAt
-		}
-	case Moot:
-		r.giveUp(q)
-		return
+	ran := ev.Result == Failed || ev.Result == TimedOut || ev.Result == Reset || ev.Result == Cancelled
+	if ran && s.role != Reader && q.ranOn == nil {
+		q.ranOn, q.ranAt = s, q.sentAt
 	}
 	if ev.Result == Full && ev.Note == 1 { // gone, or out of this writer's reach: read it anew
 		q.holder = nil
@@ -562,7 +555,8 @@
 }
 
 // next sends a request on from where it stands, or answers it at once. Where
-// every writer has failed it once, all may be tried again.
+// every writer has failed it once, all may be tried again; a state that none takes now
+// waits at its reader for the next tick, until its pin limit is near.
 func (r *Router) next(q *request) {
 	if q.attempts >= r.set.MaxAttempts || r.now >= q.Deadline || !r.mayRepeat(q) {
 		r.giveUp(q)
@@ -577,11 +571,14 @@
 		q.shunned = nil
 		s = pick(q)
 	}
-	if s == nil {
+	switch {
+	case s != nil:
+		r.send(q, s)
+	case q.holder != nil && r.now.Add(2*tickEvery).Sub(q.restedAt) < r.set.PinLimit:
+		r.resting = append(r.resting, q)
+	default:
 		r.giveUp(q)
-		return
 	}
-	r.send(q, s)
 }
 
 // mayRepeat keeps effects from happening twice.
@@ -645,10 +642,12 @@
 	switch ev.Result {
 	case OK:
 		r.good(s)
+		s.done += r.work[q.Class]
 		blend(&r.duration[q.Class], ev.Took.Seconds(), meanAlpha)
 		r.checkSlow(s, ev.Took.Seconds()/r.duration[q.Class])
 	case ReadDone:
 		r.good(s)
+		s.done += r.work[q.Class]
 		r.checkSlow(s, r.sample(s, ev.Took.Seconds(), max(q.PromptLen-float64(ev.Note), 0)))
 	case Failed:
 		r.bad(s, illAlpha, "errors")
@@ -671,6 +670,7 @@
 func (r *Router) good(s *server) {
 	if s.lost {
 		s.lost, s.ill, s.coldAt = false, illAt, max(s.coldAt, r.now.Add(shyFor-r.set.ColdFor))
+		s.credit, s.creditAt = 0, r.now
 	}
 	s.nextTrial = r.now
 	s.ill *= 1 - illAlpha
@@ -694,8 +694,8 @@
 	s.nextTrial = r.now.Add(s.trialWait)
 }
 
-// crowded tells that so much of a role is aside that no more may follow for
-// errors or slowness: a fault that most share is not the servers'.
+// crowded tells that so much of a role is aside that no more may follow for errors,
+// slowness or silence: a fault that most share is not the servers'.
 func (r *Router) crowded(s *server) bool {
 	all, well := 0.0, 0.0
 	for _, t := range r.order {
@@ -754,22 +754,20 @@
 }
 
 // coldRoom tells whether a cold server may be sent one more. The danger is a
-// server that has just started and falls over; its budget for a window is what
-// warm peers of its role take from us in the same time, scaled down. It also
-// spares a server that came back from being cut off. It hurts where all of a
-// role is cold: then each gets little more than one request a window.
+// server that has just started and falls over. Its credit grows at a part of what
+// warm peers of its role finish for us; how it warms up is not told, so it counts as
+// at its coldest throughout. It also spares a server that was cut off. It hurts
+// where all of a role is cold: then each gets a request now and then.
 func (r *Router) coldRoom(s *server, work float64) bool {
-	age := r.now.Sub(s.coldAt)
-	if s.coldAt == 0 || age >= r.set.ColdFor {
+	if s.coldAt == 0 || r.now.Sub(s.coldAt) >= r.set.ColdFor {
 		return true
 	}
-	if r.now.Sub(s.windowAt) >= r.set.FallAfter {
-		s.windowAt, s.windowSent = r.now, 0
-	}
-	warm := max(age.Seconds(), 0) / r.set.ColdFor.Seconds()
-	share := r.set.ColdFrom + (1-r.set.ColdFrom)*warm*warm
-	budget := r.rate[s.role] * r.set.FallAfter.Seconds() * share * r.set.FallMultiple * coldMargin
-	return s.windowSent == 0 || s.windowSent+work <= budget
+	window := r.set.FallAfter.Seconds()
+	pace := r.rate[s.role] * r.set.ColdFrom * r.set.FallMultiple * coldMargin
+	pace = max(pace, work/(2*window*float64(r.set.Routers)))
+	s.credit = min(s.credit+pace*r.now.Sub(s.creditAt).Seconds(), max(work, pace*window/2))
+	s.creditAt = r.now
+	return s.credit >= work
 }
 
 // ---- the tick ----
@@ -777,6 +775,13 @@
 func (r *Router) tick() {
 	r.do(SetTimer{After: tickEvery})
 	r.lift()
+	resting := r.resting
+	r.resting = nil
+	for _, q := range resting {
+		if !q.ended {
+			r.next(q)
+		}
+	}
 	for _, s := range r.order {
 		r.checkSilence(s)
 		if r.set.MayProbe && s.State != Gone && !s.probing && r.now.Sub(s.probeAt) >= probeEvery {
@@ -834,9 +839,6 @@
 // of signs of life at others.
 func (r *Router) probed(ev ProbeResult) {
 	s := r.servers[ev.Server]
-	if s == nil {
-		return
-	}
 	s.probing = false
 	if r.report(s, ev.Report); ev.Result == TimedOut || ev.Result == ConnectFailed || ev.Result == Reset {
 		s.lost = true
@@ -860,16 +862,16 @@
 	var sum, n [3]float64
 	for _, s := range r.order {
 		if s.coldAt == 0 || r.now.Sub(s.coldAt) >= r.set.ColdFor {
-			sum[s.role] += s.windowSent
-			s.windowSent = 0
+			sum[s.role] += s.done
 			if s.State == Ready && !s.aside() {
 				n[s.role]++
 			}
 		}
+		s.done = 0
 	}
 	for role := range r.rate {
 		if n[role] > 0 {
-			blend(&r.rate[role], sum[role]/n[role]/span, unitAlpha)
+			r.rate[role] = max(r.rate[role]*rateFade, sum[role]/n[role]/span)
 		}
 	}
 }
@@ -890,13 +892,11 @@
 		}
 		if e.Since > s.coldAt && e.State == Ready { // a new process: what we knew is void
 			s.coldAt, s.ill, s.lost, s.samples, s.trialWait = e.Since, 0, false, 0, trialFirst
-			s.windowSent, s.unit, s.pace = 0, 0, 0
+			s.credit, s.creditAt, s.unit, s.pace = 0, r.now, 0, 0
 		}
 		e.Weight = max(e.Weight, minWeight)
 		s.Server = e
-		if e.Kind < min(len(r.set.KindRole), len(r.set.KindMemory)) {
-			s.role, s.capacity = r.set.KindRole[e.Kind], r.set.KindMemory[e.Kind]
-		}
+		s.role, s.capacity = r.set.KindRole[e.Kind], r.set.KindMemory[e.Kind]
 	}
 	slices.SortFunc(r.order, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 	r.pool = [3]float64{}
