--- a/control/control.go
+++ b/control/control.go
@@ -574,7 +574,7 @@
 	switch {
 	case s != nil:
 		r.send(q, s)
-	case q.holder != nil && r.now.Add(2*tickEvery).Sub(q.restedAt) < r.set.PinLimit:
+	case q.holder != nil && r.now.Add(2*tickEvery) < min(q.restedAt.Add(r.set.PinLimit), q.Deadline):
 		r.resting = append(r.resting, q)
 	default:
 		r.giveUp(q)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -384,3 +384,13 @@
 		t.Fatalf("%d of 10 requests sent to a reader that answers again", sends)
 	}
 }
+
+func TestRestingRequestIsAnsweredBeforeItsClientLeaves(t *testing.T) {
+	s := start(t, settings(Reader, Writer), 0)
+	q := s.request(1, 0)
+	q.Deadline = s.now.Add(300 * ms)
+	s.read(s.sent(s.do(0, q)), 0)
+	if acts := s.ticks(250 * ms); len(only[Refuse](acts)) != 1 {
+		t.Fatalf("got %v", acts)
+	}
+}
