--- a/control/control.go
+++ b/control/control.go
@@ -52,7 +52,7 @@
 	slowAt       = 3.0  // times the role's median time above which a server is set aside
 	slowSamples  = 5    // times seen before slowness is believed
 	asideCap     = 0.5  // share of a role that may be set aside for errors or slowness
-	coldMargin   = 0.25 // share of the fall-over budget that is spent: windows may meet, neighbours send too
+	coldMargin   = 0.4  // share of the fall-over budget that is spent: the rest is for chance and neighbours
 
 	trialFirst  = time.Second            // wait before a server set aside gets a trial
 	trialMost   = 4 * time.Second        // and the longest wait between trials
