--- a/control/control_test.go
+++ b/control/control_test.go
@@ -398,13 +398,16 @@
 }
 
 func TestSilentServerIsNotTakenForColdWhenItAnswers(t *testing.T) {
-	s := start(t, settings(Reader, Writer), 0, 1)
-	s.do(0, s.request(1, 0))
-	s.ticks(600 * ms)
-	s.do(0, Outcome{ID: 1, Attempt: 0, Server: 1, Result: ReadDone, Took: 600 * ms})
-	s.sent(s.do(time.Second, s.request(2, 0)))
-	s.read(Send{ID: 2, Server: 1}, 0)
-	s.sent(s.do(10*ms, s.request(3, 0)))
+	s := start(t, settings(Reader, Writer), 0, 0, 1)
+	first := s.sent(s.do(0, s.request(1, 0)))
+	if logs := only[Log](s.ticks(600 * ms)); len(logs) != 1 {
+		t.Fatalf("not set aside: %v", logs)
+	}
+	s.read(first, 0)
+	s.do(0, Fleet{Servers: []Server{{ID: 3 - first.Server, State: Gone, Weight: 1}}})
+	s.read(s.sent(s.do(2*time.Second, s.request(2, 0))), 0)
+	s.read(s.sent(s.do(10*ms, s.request(3, 0))), 0)
+	s.sent(s.do(10*ms, s.request(4, 0)))
 }
 
 func TestSlowReaderIsSetAside(t *testing.T) {
@@ -505,3 +508,50 @@
 		t.Fatalf("got %v", acts)
 	}
 }
+
+func TestMixedServerTakesAStateThatNoWriterCan(t *testing.T) {
+	s := start(t, settings(Reader, Writer, Mixed), 0)
+	read := s.sent(s.do(0, s.request(1, 0)))
+	s.do(0, Fleet{Servers: []Server{{ID: 2, State: Ready, Kind: 2, Weight: 1}}})
+	if write := s.sent(s.read(read, 0)); write.Server != 2 {
+		t.Fatalf("sent to %d", write.Server)
+	}
+}
+
+func TestServerWithUnansweredProbeIsSetAside(t *testing.T) {
+	set := settings(Reader, Writer)
+	set.MayProbe = true
+	s := start(t, set, 0, 0, 1)
+	if probes := only[Probe](s.ticks(50 * ms)); len(probes) != 3 {
+		t.Fatalf("probes: %v", probes)
+	}
+	s.do(0, ProbeResult{Server: 1, Result: TimedOut})
+	for id := RequestID(1); id < 10; id++ {
+		send := s.sent(s.do(10*ms, s.request(id, 0)))
+		if send.Server == 1 {
+			t.Fatal("sent to a server whose probe went unanswered")
+		}
+		s.read(send, 0)
+	}
+}
+
+func TestLongWaiterJumpsAhead(t *testing.T) {
+	set := settings(Reader, Writer)
+	set.KindMemory = []float64{0, 1500} // room for one request
+	s := start(t, set, 0, 1)
+	turn := func(id RequestID, session uint64) Request {
+		q := s.request(id, 0)
+		q.Session = session
+		return q
+	}
+	s.read(s.sent(s.do(0, turn(1, 7))), 0) // session 7 gets a CST of 60 ms
+	s.do(40*ms, Outcome{ID: 1, Attempt: 1, Server: 2, Result: OK, Took: 40 * ms, Final: true})
+	s.read(s.sent(s.do(0, turn(2, 8))), 0)
+	s.do(0, turn(3, 7))
+	s.ticks(400 * ms)   // long for a session of 60 ms
+	s.do(0, turn(4, 9)) // a new session, with no CST at all
+	acts := s.do(10*ms, Outcome{ID: 2, Attempt: 1, Server: 2, Result: OK, Took: 400 * ms, Final: true})
+	if send := s.sent(acts); send.ID != 3 {
+		t.Fatalf("request %d goes before the long waiter", send.ID)
+	}
+}
