--- a/control/control.go
+++ b/control/control.go
@@ -35,7 +35,7 @@
 
 // Values that the design leaves open.
 const (
-	memoryPart   = 1.6  // our part of a silent writer's memory, over 1/routers: clients spread unevenly
+	memoryPart   = 1.6  // our part of a writer's memory, over 1/routers: clients spread unevenly
 	outShare     = 0.3  // share of MaxTokens that an answer is taken to need, before it is known
 	sendsKept    = 0.5  // share of our sends that a new report is taken not to show yet
 	minWeight    = 0.01 // a server's weight is taken as at least this
@@ -311,17 +311,17 @@
 	return room*all/heard - reads, false
 }
 
-// room is how many more mean requests we may give a writer. known is false
-// where nothing tells, and the gate then stands open.
+// room is how many more mean requests we may give a writer: the least that a report and our own
+// answers leave, since reports come late. known is false where nothing tells: the gate stands open.
 func (r *Router) room(s *server) (n float64, known bool) {
-	switch {
-	case s.heardAt != 0 && r.now.Sub(s.heardAt) < reportStale:
-		return (s.free - s.sent) / max(r.need, 1), true
-	case s.capacity > 0:
-		part := min(1, memoryPart/float64(r.set.Routers))
-		return (fullMemory*s.capacity*part - s.tokens) / max(r.need, 1), true
+	n = math.Inf(1)
+	if s.capacity > 0 {
+		n = fullMemory*s.capacity*min(1, memoryPart/float64(r.set.Routers)) - s.tokens
+	}
+	if s.heardAt != 0 && r.now.Sub(s.heardAt) < reportStale {
+		n = min(n, s.free-s.sent)
 	}
-	return 0, false
+	return n / max(r.need, 1), !math.IsInf(n, 1)
 }
 
 // report takes in a load report: the RFC's room where the fields for it exist, else annotated
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -555,3 +555,19 @@
 		t.Fatalf("request %d goes before the long waiter", send.ID)
 	}
 }
+
+func TestLateReportDoesNotHideOurOwnAnswers(t *testing.T) {
+	set := settings(Reader, Writer)
+	set.KindMemory, set.Fields = []float64{0, 2400}, []Field{FieldMemory}
+	s := start(t, set, 0, 1)
+	for id := RequestID(1); id < 3; id++ { // two answers fill the writer
+		write := s.sent(s.read(s.sent(s.do(0, s.request(id, 0))), 0))
+		s.do(0, Started{ID: id, Server: write.Server, Attempt: 1})
+	}
+	for range 5 { // reports from before that still call it empty
+		s.do(10*ms, ProbeResult{Server: 2, Report: []float64{0}})
+	}
+	if acts := s.do(10*ms, s.request(9, 0)); len(acts) != 0 {
+		t.Fatalf("released on the word of an old report: %v", acts)
+	}
+}
