--- a/control/control.go
+++ b/control/control.go
@@ -35,7 +35,7 @@
 
 // Values that the design leaves open.
 const (
-	memoryPart   = 1.6  // our part of a writer's memory, over 1/routers: clients spread unevenly
+	memoryPart   = 1.3  // our part of a writer's memory, over 1/routers: clients spread unevenly
 	outShare     = 0.3  // share of MaxTokens that an answer is taken to need, before it is known
 	sendsKept    = 0.5  // share of our sends that a new report is taken not to show yet
 	minWeight    = 0.01 // a server's weight is taken as at least this
