--- a/control/control.go
+++ b/control/control.go
@@ -126,24 +126,25 @@
 
 // Router decides for one router. It is not safe for concurrent use.
 type Router struct {
-	set        Settings
-	rng        *rand.Rand
-	now, swept Time
-	acts       []Action
-	servers    map[ServerID]*server
-	order      []*server // by id
-	sessions   map[uint64]*session
-	requests   map[RequestID]*request
-	held       queue
-	resting    []*request // read, and no writer takes them now
-	seq        uint64
-	ticking    bool
-	need       float64    // mean tokens of a request
-	work       []float64  // mean work of a class, in tokens
-	duration   []float64  // mean seconds of an answer, by class
-	rate       [3]float64 // work that a warm server of each role takes from us, a second
-	pool       [3]float64 // weight of the ready servers of each role
-	usage      []float64  // requests of each tenant, leaking at the rate of our part of its allowance
+	set            Settings
+	rng            *rand.Rand
+	now, swept     Time
+	acts           []Action
+	servers        map[ServerID]*server
+	order          []*server // by id
+	sessions       map[uint64]*session
+	requests       map[RequestID]*request
+	held           queue
+	resting        []*request // read, and no writer takes them now
+	flow, released float64    // releases a second, lately; since the latest sweep
+	seq            uint64
+	ticking        bool
+	need           float64    // mean tokens of a request
+	work           []float64  // mean work of a class, in tokens
+	duration       []float64  // mean seconds of an answer, by class
+	rate           [3]float64 // work that a warm server of each role takes from us, a second
+	pool           [3]float64 // weight of the ready servers of each role
+	usage          []float64  // requests of each tenant, leaking at the rate of our part of its allowance
 }
 
 // New returns the router of one instance, which knows no server yet.
@@ -287,6 +288,7 @@
 		}
 		q.session.wait += r.now.Sub(q.arrived)
 		r.send(q, s)
+		r.released++
 		room -= q.need / r.need
 	}
 }
@@ -356,10 +358,10 @@
 	s.heardAt = r.now
 }
 
-// tooLate tells that a held request can no longer make its aim, or that its
-// client leaves before the next look at it.
+// tooLate tells that a held request can't make its aim, or its client leaves before the next look.
 func (r *Router) tooLate(q *request) bool {
-	return r.now.Add(2*tickEvery) >= q.Deadline || !q.Resumed && r.now.Add(r.eta(q)) > q.aim
+	ahead := time.Duration(float64(max(q.pos, 0)) / cmp.Or(r.flow, math.Inf(1)) * float64(time.Second))
+	return r.now.Add(2*tickEvery) >= q.Deadline || !q.Resumed && r.now.Add(r.eta(q)+ahead) > q.aim
 }
 
 // eta is the least time in which a request could yet get its first token.
@@ -593,8 +595,7 @@
 		q.class.Scope == ScopeZone && s.Zone == q.ranOn.Zone || q.class.Scope == ScopeCell && s.Cell == q.ranOn.Cell
 }
 
-// giveUp gives the final answer at once: a refusal where a retry is known to be
-// harmless, else a failure.
+// giveUp gives the final answer at once: a refusal where a retry is known to be harmless, else a failure.
 func (r *Router) giveUp(q *request) {
 	if q.ranOn == nil || q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Scope == ScopeAll {
 		r.do(Refuse{ID: q.ID, RetryAfter: min(r.set.MaxRetryAfter, max(r.eta(q), tickEvery))})
@@ -665,8 +666,7 @@
 	}
 }
 
-// good notes an attempt that went well. A server that was out of reach is back
-// at once, but may be a new process, so it counts as cold until the list must have told.
+// good notes an attempt that went well. A server back in reach may be a new process: it counts as cold.
 func (r *Router) good(s *server) {
 	if s.lost {
 		s.lost, s.ill, s.coldAt = false, illAt, max(s.coldAt, r.now.Add(shyFor-r.set.ColdFor))
@@ -733,8 +733,7 @@
 	return unit
 }
 
-// checkSlow sets aside a server that is slow against its role. It looks at the
-// better times of each, which a queue in front of a sound server leaves alone.
+// checkSlow sets aside a server whose better times, which a queue leaves alone, are slow for its role.
 func (r *Router) checkSlow(s *server, value float64) {
 	alpha := unitAlpha / 2
 	if value < s.pace {
@@ -835,8 +834,7 @@
 	}
 }
 
-// probed takes in a probe: the only source of load reports at some sites, and
-// of signs of life at others.
+// probed takes in a probe: some sites' only source of load reports, or of signs of life.
 func (r *Router) probed(ev ProbeResult) {
 	s := r.servers[ev.Server]
 	s.probing = false
@@ -851,6 +849,8 @@
 func (r *Router) sweep() {
 	span := r.now.Sub(r.swept).Seconds()
 	r.swept = r.now
+	blend(&r.flow, r.released/span, unitAlpha)
+	r.released = 0
 	for tenant := range r.usage {
 		r.usage[tenant] = max(0, r.usage[tenant]-span*r.allowance(tenant))
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -571,3 +571,17 @@
 		t.Fatalf("released on the word of an old report: %v", acts)
 	}
 }
+
+func TestRequestTooFarBackIsRefusedAtOnce(t *testing.T) {
+	set := settings(Reader, Writer)
+	set.KindMemory = []float64{0, 1500} // room for one request
+	s := start(t, set, 0, 1)
+	s.do(0, s.request(1, 0))
+	s.ticks(1100 * ms) // one release a second, as far as is known
+	for id := RequestID(2); id < 9; id++ {
+		acts := s.do(0, s.request(id, 0))
+		if refused := len(only[Refuse](acts)) == 1; refused != (id > 2) {
+			t.Fatalf("request %d: %v", id, acts)
+		}
+	}
+}
