Rebuild for size: pooled times, spread prefixes, near writers, room and cold shares in fleet terms

Cause: with 100 to 300 routers each sees about one request a second. Room per server was under one request, silence had no evidence, a popular prefix swamped one reader and one mixed server, probes were a load of their own, cold servers got nothing, and writers far away filled the links.

Servers that are gone are dropped; probes of unknown servers do no harm.

--- a/control/control.go
+++ b/control/control.go
@@ -1,17 +1,9 @@
 package control
 
-// This file holds every decision of the router; api.go holds its settings,
-// events and actions. The path of a request:
-//
-//  1. arrive: it joins the heap, lowest accumulated service time (CST) of its session first.
-//  2. release: while writers are thought to have room it is popped and sent to a reader (its
-//     session's last, else the one its prefix hashes to) or whole to a mixed server. One that
-//     can no longer make its aim is refused instead, before it is read.
-//  3. next: when the read has ended, of two random writers the one with fewer of our streams
-//     takes the state. Failed attempts come by here too.
-//  4. giveUp and end: one final answer, and what is held is let go on every way out.
-//
-// What is about failure hangs off judge (outcomes), checkSilence (the tick) and usable.
+// This file holds every decision of the router; api.go holds its settings, events and actions. A
+// request arrives and joins the heap, is released to a reader or whole to a mixed server while
+// writers are thought to have room, goes to a writer when it has been read, and ends with one final
+// answer. What is about failure hangs off judge (outcomes), checkSilence (the tick) and usable.
 
 import (
 	"cmp"
@@ -30,40 +22,42 @@
 	liftAt      = 4.0                   // wait over CST above which a request jumps ahead
 	fullMemory  = 0.9                   // share of a writer's memory above which it has no room
 	overMedian  = 2.0                   // a reader with so many times the median of our sends is passed over
-	roomAlpha   = 0.3                   // weight of a new report in the moving average of room
 )
 
 // Values that the design leaves open.
 const (
 	memoryPart   = 1.3  // our part of a writer's memory, over 1/routers: clients spread unevenly
 	outShare     = 0.3  // share of MaxTokens that an answer is taken to need, before it is known
-	sendsKept    = 0.5  // share of our sends that a new report is taken not to show yet
+	sendsKept    = 0.5  // share of our sends that reports a second later do not show yet
 	minWeight    = 0.01 // a server's weight is taken as at least this
+	heldByChance = 3    // so many held ahead of a request say nothing of how fast they go
 	fewReads     = 3.0  // reads at one reader that are never too many
+	cellSkew     = 1.4  // a reader beside many writers reads up to so much more: readers have reserves
 	mixedPart    = 0.6  // what a mixed server answers whole, against a writer's answers
 	unitBase     = 500  // tokens; fixed cost of a read, in prompt tokens
 	unitAlpha    = 0.2  // weight of a new sample in a server's times
-	rateFade     = 0.98 // a role's best rate of work fades by this each second
+	probeShare   = 1.0  // probes for each request that comes
+	homeShare    = 2.0  // homes of a prefix have so many times its share of all requests: others come too
+	othersSeen   = 20.0 // requests of other prefixes taken as seen before ours
+	seenKept     = 0.97 // of the counts of prefixes, each second
+	reportAlpha  = 0.1  // weight of a new report in the mean over the servers
+	bestAlpha    = 0.5  // weight of a time better than the better times
 	meanAlpha    = 0.05 // weight of a new sample in the means over all requests
 	etaMargin    = 1.25 // an estimate is trusted up to this factor: refused early beats failed late
 	illAlpha     = 0.3  // weight of one outcome in a server's share of failures
 	silentWeight = 0.5  // what a long silence adds to that share: aside until two attempts go well
 	illAt        = 0.35 // share of failures above which a server is set aside: two of the last four
-	slowAt       = 3.0  // times the role's median time above which a server is set aside
-	slowSamples  = 5    // times seen before slowness is believed
+	slowAt       = 3.0  // times the role's mean time above which a server is set aside
+	sampleCap    = 1.5  // a time counts as at most so many times the mean: slow servers don't move it much
 	asideCap     = 0.5  // share of a role that may be set aside for errors or slowness
 	coldMargin   = 0.4  // share of the fall-over budget that is spent: the rest is for chance and neighbours
 
-	trialFirst  = time.Second            // wait before a server set aside gets a trial
-	trialMost   = 4 * time.Second        // and the longest wait between trials
-	silenceMin  = 500 * time.Millisecond // silence shorter than this means nothing
+	trialEvery  = 2 * time.Second        // wait before a server set aside gets a trial, and between trials
 	silenceRole = 4.0                    // silence beyond this multiple of the role's usual time is an illness
 	maxEta      = 60.0                   // seconds; no estimate is longer
 	statAge     = 2 * time.Second        // without news, an estimate fades over this time
 	probeEvery  = time.Second            // between probes of one server, and between sweeps of the tables
 	reportStale = 4 * time.Second        // an older load report is no longer believed
-	retryShare  = 0.6                    // part of the time left that one attempt may take: another must fit
-	shyFor      = 4 * time.Second        // a server back in reach counts as cold for this: then a start is known
 	fullPause   = 200 * time.Millisecond // a server that turned us away rests for this long
 )
 
@@ -74,8 +68,8 @@
 	session          *session
 	arrived, aim     Time // aim: first token wanted by then
 	seq              uint64
-	pos              int  // in the heap; -1 outside
-	lifted, over     bool // over: its tenant is beyond its allowance
+	pos              int // in the heap; -1 outside
+	lifted           bool
 	ended            bool // answered; kept only while an attempt is out
 	attempts         int
 	out, started     bool // an attempt is out; its answer streams
@@ -101,25 +95,17 @@
 // server is what this router knows of one server.
 type server struct {
 	Server
-	role           Role
-	capacity       float64    // annotated memory in tokens; 0 if none
-	out            []*request // our attempts there
-	reads, streams float64    // our reads under way; our answers asked for or streaming
-	tokens         float64    // memory that those answers need
-	free, sent     float64    // tokens of room that are ours, by reports; tokens sent since
-	heardAt        Time       // latest load report; 0 for never
+	role         Role
+	capacity     float64    // annotated memory in tokens; 0 if none
+	out          []*request // our attempts there
+	tokens       float64    // memory that those answers need
+	share, score float64    // what it takes of all reads; its place in the order of the prefix in hand
 
-	unit                 float64 // seconds to the end of a read or the first token, per token
 	pace                 float64 // its better times: a read's a token, or an answer's over the mean of its class
-	samples              int
-	sampleAt, signAt     Time    // signAt: last outcome or start of an answer
+	signAt               Time    // last outcome or start of an answer
 	ill                  float64 // share of recent attempts that failed
-	lost                 bool    // was out of reach when last tried
-	trialWait            time.Duration
 	nextTrial, restUntil Time    // restUntil: it turned us away
 	coldAt               Time    // start, or return from being out of reach
-	credit, done         float64 // work that it may be sent while cold; work that it finished for us lately
-	creditAt             Time
 	probeAt              Time
 	probing              bool
 }
@@ -131,7 +117,7 @@
 	now, swept     Time
 	acts           []Action
 	servers        map[ServerID]*server
-	order          []*server // by id
+	order, ready   []*server // all by id; those listed as ready
 	sessions       map[uint64]*session
 	requests       map[RequestID]*request
 	held           queue
@@ -140,11 +126,20 @@
 	seq            uint64
 	ticking        bool
 	need           float64    // mean tokens of a request
-	work           []float64  // mean work of a class, in tokens
 	duration       []float64  // mean seconds of an answer, by class
-	rate           [3]float64 // work that a warm server of each role takes from us, a second
-	pool           [3]float64 // weight of the ready servers of each role
-	usage          []float64  // requests of each tenant, leaking at the rate of our part of its allowance
+	unit           [3]float64 // time a token of each role, lately, over all its servers
+	unitAt         [3]Time    // and when it was last seen
+	best           [3]float64 // its better times
+	turned         [3]float64 // share of attempts that it turned away, lately
+	space, writers float64    // memory of the servers that take states, and their number
+	free, sent     float64    // mean room of one of them by reports, in tokens; what we sent since
+	heardAt        Time       // latest load report; 0 for never
+	reads, tokens  float64    // our reads under way; memory that our answers need
+	dither         float64    // the part of a request for which there must be room
+	probes         float64    // that we may send
+	cells          map[uint16]*cell
+	prefixes       map[uint64]float64 // requests with each prefix, fading
+	seen           float64            // and all requests
 }
 
 // New returns the router of one instance, which knows no server yet.
@@ -152,8 +147,7 @@
 	set.Routers, set.MaxAttempts = max(set.Routers, 1), max(set.MaxAttempts, 1)
 	return &Router{set: set, rng: rand.New(rand.NewPCG(set.Seed, set.Seed>>32)), now: now, swept: now,
 		servers: map[ServerID]*server{}, sessions: map[uint64]*session{}, requests: map[RequestID]*request{},
-		work: make([]float64, len(set.Classes)), duration: make([]float64, len(set.Classes)),
-		usage: make([]float64, len(set.Tenants))}
+		prefixes: map[uint64]float64{}, duration: make([]float64, len(set.Classes))}
 }
 
 // Handle takes the events of one instant and returns what is to be done, in order.
@@ -194,8 +188,6 @@
 
 func (r *Router) do(a Action) { r.acts = append(r.acts, a) }
 
-// ---- arrival and the heap ----
-
 func (r *Router) arrive(ev Request) {
 	class, s := &r.set.Classes[ev.Class], r.sessions[ev.Session]
 	if s == nil {
@@ -206,10 +198,14 @@
 	r.seq++
 	q := &request{Request: ev, class: class, session: s, arrived: r.now, seq: r.seq,
 		aim:  r.now.Add(class.Aim + time.Duration(float64(class.AimPer1000)*ev.PromptLen/1000)),
-		need: ev.PromptLen + outShare*ev.MaxTokens, over: r.overAllowance(ev.Tenant)}
+		need: ev.PromptLen + outShare*ev.MaxTokens}
 	r.requests[ev.ID] = q
+	r.seen++
+	r.probes += probeShare
+	if q.Prefix != 0 {
+		r.prefixes[q.Prefix]++
+	}
 	blend(&r.need, q.need, meanAlpha)
-	blend(&r.work[ev.Class], r.uncached(q, nil)+2*unitBase, meanAlpha)
 	heap.Push(&r.held, q)
 	if r.tooLate(q) {
 		r.giveUp(q)
@@ -224,35 +220,21 @@
 	*mean += alpha * (value - *mean)
 }
 
-// overAllowance counts a request against its tenant and tells whether the tenant
-// sends us more than our part of its allowance. Such requests stand behind others.
-func (r *Router) overAllowance(tenant int) bool {
-	if tenant >= len(r.usage) || r.set.Tenants[tenant].Allowance <= 0 {
-		return false
-	}
-	rate := r.allowance(tenant)
-	if r.usage[tenant] > 2*rate {
-		return true
+// sink moves an average fast to better, lower values and slowly to others: a queue leaves it alone.
+func sink(best *float64, value float64) {
+	if value < *best {
+		blend(best, value, bestAlpha)
 	}
-	r.usage[tenant]++
-	return false
-}
-
-// allowance is our part of what a tenant may send, a second.
-func (r *Router) allowance(tenant int) float64 {
-	return r.set.Tenants[tenant].Allowance * memoryPart / float64(r.set.Routers)
+	blend(best, value, unitAlpha)
 }
 
-// queue is the heap of held requests: within the tenant's allowance first, then lifted
-// ones in order of arrival, then the lowest CST.
+// queue is the heap of held requests: lifted ones in order of arrival, then the lowest CST.
 type queue []*request
 
 func (h queue) Len() int { return len(h) }
 func (h queue) Less(i, j int) bool {
 	a, b := h[i], h[j]
 	switch {
-	case a.over != b.over:
-		return b.over
 	case a.lifted != b.lifted:
 		return a.lifted
 	case !a.lifted && a.session.cst != b.session.cst:
@@ -269,13 +251,11 @@
 	return q
 }
 
-// ---- release ----
-
 // release pops requests while writers have room. Reads under way are counted
 // as load that the writers will get, or states would pile up at the readers.
 func (r *Router) release() {
-	room, open := r.totalRoom()
-	for len(r.held) > 0 && (open || room >= 1) {
+	room := r.totalRoom()
+	for len(r.held) > 0 && room >= r.dither {
 		q := heap.Pop(&r.held).(*request)
 		if r.tooLate(q) {
 			r.giveUp(q)
@@ -289,196 +269,241 @@
 		q.session.wait += r.now.Sub(q.arrived)
 		r.send(q, s)
 		r.released++
+		r.dither = 1 - r.rng.Float64()*(1-1/float64(r.set.Routers))
 		room -= q.need / r.need
 	}
 }
 
-// totalRoom adds up the room at writers and mixed servers, less reads under
-// way. A writer not heard from counts as the mean of the others.
-func (r *Router) totalRoom() (room float64, open bool) {
-	all, heard, reads := 0.0, 0.0, 0.0
-	for _, s := range r.order {
-		reads += s.reads
-		if s.role == Reader || s.State != Ready || s.aside() {
-			continue
-		}
-		all++
-		if n, known := r.room(s); known {
-			room, heard = room+max(n, 0), heard+1
-		}
-	}
-	if heard == 0 {
-		return 0, true
+// totalRoom is our part, in mean requests, of the room at writers and mixed servers together, less reads
+// under way: the least that pooled reports, which come late, and our own answers leave.
+func (r *Router) totalRoom() float64 {
+	room := r.part(r.space) - r.tokens/max(r.need, 1)
+	if r.now.Sub(r.heardAt) < reportStale && r.heardAt != 0 {
+		room = min(room, (r.free*r.writers/float64(r.set.Routers)-r.sent)/max(r.need, 1))
 	}
-	return room*all/heard - reads, false
+	return room - r.reads
 }
 
-// room is how many more mean requests we may give a writer: the least that a report and our own
-// answers leave, since reports come late. known is false where nothing tells: the gate stands open.
-func (r *Router) room(s *server) (n float64, known bool) {
-	n = math.Inf(1)
-	if s.capacity > 0 {
-		n = fullMemory*s.capacity*min(1, memoryPart/float64(r.set.Routers)) - s.tokens
+// part is our part of so much memory in mean requests, with slack for chance, which weighs more the smaller
+// the part is. Memory that nobody annotated has no bound: the gate stands open.
+func (r *Router) part(memory float64) float64 {
+	if memory <= 0 {
+		return math.Inf(1)
 	}
-	if s.heardAt != 0 && r.now.Sub(s.heardAt) < reportStale {
-		n = min(n, s.free-s.sent)
-	}
-	return n / max(r.need, 1), !math.IsInf(n, 1)
+	n := fullMemory * memory / float64(r.set.Routers) / max(r.need, 1)
+	return min(memoryPart*n+math.Sqrt(n), fullMemory*memory/max(r.need, 1))
 }
 
-// report takes in a load report: the RFC's room where the fields for it exist, else annotated
-// memory less what is held. Each neighbour sees the same room, so we take our part of it.
+// report takes in a load report: the RFC's room where the fields for it exist, else annotated memory less
+// what is held. It joins a mean: in a large fleet a single server is heard too seldom.
 func (r *Router) report(s *server, values []float64) {
 	if len(values) == 0 || len(values) < len(r.set.Fields) {
 		return
 	}
-	byField := [FieldBacklog + 1]float64{}
-	has := [FieldBacklog + 1]bool{}
+	by := [FieldBacklog + 1]float64{}
 	for i, f := range r.set.Fields {
-		byField[f], has[f] = values[i], true
-	}
-	free, held := 0.0, byField[FieldMemory]
-	switch util := byField[FieldUtil]; {
-	case has[FieldInFlight] && util > 0:
-		free = byField[FieldInFlight] * (1 - util) / util * r.need
-	case has[FieldMemory] && s.capacity > 0:
-		free = (fullMemory - held) * s.capacity
-	default:
-		return
+		by[f] = values[i]
+	}
+	free := math.Inf(1)
+	if util := by[FieldUtil]; by[FieldInFlight]*util > 0 {
+		free = by[FieldInFlight] * (1 - util) / util * r.need
+	} else if s.capacity > 0 && slices.Contains(r.set.Fields, FieldMemory) {
+		free = max(fullMemory-by[FieldMemory], 0) * s.capacity
 	}
-	if held > fullMemory || byField[FieldQueue] >= fewReads {
+	if by[FieldMemory] > fullMemory || by[FieldQueue] >= fewReads {
 		free = 0
 	}
-	free = max(free, 0) / float64(r.set.Routers)
-	if s.heardAt == 0 || r.now.Sub(s.heardAt) > reportStale {
-		s.free, s.sent = free, 0
+	if s.role != Reader && !math.IsInf(free, 1) {
+		blend(&r.free, free, reportAlpha)
+		r.heardAt = r.now
 	}
-	blend(&s.free, free, roomAlpha)
-	s.sent *= sendsKept
-	s.heardAt = r.now
 }
 
 // tooLate tells that a held request can't make its aim, or its client leaves before the next look.
 func (r *Router) tooLate(q *request) bool {
-	ahead := time.Duration(float64(max(q.pos, 0)) / cmp.Or(r.flow, math.Inf(1)) * float64(time.Second))
-	return r.now.Add(2*tickEvery) >= q.Deadline || !q.Resumed && r.now.Add(r.eta(q)+ahead) > q.aim
+	ahead := float64(max(q.pos-heldByChance, 0)) / cmp.Or(r.flow, math.Inf(1))
+	starts := r.now.Add(r.eta(q) + time.Duration(ahead*float64(time.Second)))
+	return r.now.Add(2*tickEvery) >= q.Deadline || !q.Resumed && starts > q.aim
 }
 
 // eta is the least time in which a request could yet get its first token.
 func (r *Router) eta(q *request) time.Duration {
-	best := maxEta
-	writer := r.median(Writer, r.unitNow) * (q.PromptLen + unitBase)
-	for _, s := range r.order {
-		if s.State != Ready || s.aside() || s.role == Writer {
-			continue
-		}
-		t := r.unitNow(s) * (r.uncached(q, s) + unitBase)
-		if s.role == Reader {
-			t += writer
+	t := 0.0
+	for _, role := range []Role{Reader, Writer} {
+		tokens := q.PromptLen
+		if role == Reader {
+			tokens = r.uncached(q, q.session.last)
 		}
-		best = min(best, t)
+		age := r.now.Sub(r.unitAt[role]).Seconds() / statAge.Seconds()
+		t += r.best[role] * (tokens + unitBase) * math.Exp(-age)
 	}
-	return time.Duration(etaMargin * best * float64(time.Second))
+	return time.Duration(etaMargin * min(t, maxEta) * float64(time.Second))
 }
 
 // uncached is how much of a prompt a server is thought to have to read.
 func (r *Router) uncached(q *request, s *server) float64 {
-	kept := 0.0
-	if q.Prefix != 0 {
-		kept = q.PrefixLen
-	}
-	if s != nil && q.session.last == s {
+	kept := q.PrefixLen
+	if q.session.last == s {
 		kept = max(kept, q.session.length)
 	}
 	return max(q.PromptLen-kept, 0)
 }
 
-// pickReader returns the session's last reader unless it is overloaded, else the first that fits
-// in its prefix's order, else the least loaded. One due for a trial is taken first.
+// pickReader returns the session's last reader unless it is overloaded, else the less loaded of two of the first
+// few in its prefix's order: so many that none takes more of it than its share of all, by what we saw of
+// it and some others taken as seen. All routers come to much the same.
 func (r *Router) pickReader(q *request) *server {
-	medians := [3]float64{Reader: r.median(Reader, (*server).load),
-		Mixed: mixedPart * r.median(Writer, (*server).load)}
+	medians := [3]float64{Reader: r.medianLoad(Reader), Mixed: mixedPart * r.medianLoad(Writer)}
 	fits := func(s *server) bool {
-		if !r.usable(s, q) || s.load()*s.Weight >= fewReads && s.load() > overMedian*medians[s.role] {
-			return false
-		}
-		n, known := r.room(s)
-		return s.role == Reader || !known || n >= 1
+		return r.usable(s, q) && (s.load()*s.Weight < fewReads || s.load() <= overMedian*medians[s.role]) &&
+			(s.role == Reader || s.tokens/max(r.need, 1) < r.part(s.capacity))
 	}
 	if last := q.session.last; last != nil && fits(last) {
 		return last
 	}
 	key := cmp.Or(q.Prefix, q.Session)
-	var best, spare *server
-	bestScore := 0.0
-	for _, s := range r.order {
-		if s.role == Writer || !r.usable(s, q) {
-			continue
-		}
-		if s.aside() {
-			return s
-		}
-		weight := mixedPart * s.Weight
-		if s.role == Reader {
-			weight = s.Weight * max(r.pool[Writer], minWeight) / r.pool[Reader]
-		}
-		if score := rank(key, s.ID, weight); score > bestScore && fits(s) {
-			best, bestScore = s, score
+	var homes []*server
+	for _, s := range r.ready {
+		if s.role != Writer && r.usable(s, q) {
+			if s.score = rank(key, s.ID, s.share); !fits(s) {
+				s.score *= minWeight // behind the others
+			}
+			homes = append(homes, s)
 		}
-		if spare == nil || s.load() < spare.load() {
-			spare = s
+	}
+	slices.SortFunc(homes, func(a, b *server) int { return cmp.Compare(b.score, a.score) })
+	popular := r.prefixes[q.Prefix] / (r.seen + othersSeen)
+	for n, left := 0, homeShare*popular; n < len(homes); n++ {
+		if left -= homes[n].share; left <= 0 || n == len(homes)-1 {
+			return r.lessLoaded(homes[:n+1])
 		}
 	}
-	return cmp.Or(best, spare)
+	return nil
+}
+
+// lessLoaded returns of two random servers the one with less of our work.
+func (r *Router) lessLoaded(list []*server) *server {
+	a, b := list[r.rng.IntN(len(list))], list[r.rng.IntN(len(list))]
+	if b.load() < a.load() {
+		return b
+	}
+	return a
 }
 
 // rank scores a server for a key by weighted rendezvous hashing: all routers
 // agree on the order, and a server that leaves moves only its own keys.
 func rank(key uint64, id ServerID, weight float64) float64 {
+	return weight / -math.Log(fraction(key, id))
+}
+
+// fraction is a number between 0 and 1 that hangs on a key and a server alone.
+func fraction(key uint64, id ServerID) float64 {
 	x := key ^ uint64(id)*0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return weight / -math.Log((float64((x^x>>31)>>11)+0.5)/(1<<53))
+	return (float64((x^x>>31)>>11) + 0.5) / (1 << 53)
 }
 
-// pickWriter takes two random writers and returns the one with fewer of our
-// streams; of equals, the one in the state's own cell. Mixed servers take a
-// state only when no writer can.
+// pickWriter takes two random writers and returns the one with fewer of our streams: from the state's cell as
+// far as its writers can take what its readers read, else from those of its zone that have more than their
+// cell needs, else from all such. Mixed servers take a state only when no writer can.
 func (r *Router) pickWriter(q *request) *server {
+	chance := r.rng.Float64()
+	var scopes [4][]*server // its cell, what others of its zone can spare, what all can, all
+	add := func(scope int, s *server) { scopes[scope] = append(scopes[scope], s) }
 	for _, role := range []Role{Writer, Mixed} {
-		var list []*server
-		for _, s := range r.order {
-			if s.role == role && r.usable(s, q) {
-				if s.aside() {
-					return s
+		for _, s := range r.ready {
+			if s.role != role || !r.usable(s, q) {
+				continue
+			}
+			add(3, s)
+			if c := r.cells[s.Cell]; s.Cell == q.holder.Cell && chance*c.reads <= c.writes {
+				add(0, s)
+			} else if r.rng.Float64()*c.writes < c.writes-c.reads {
+				add(2, s)
+				if s.Zone == q.holder.Zone {
+					add(1, s)
 				}
-				list = append(list, s)
 			}
 		}
-		if len(list) > 0 {
-			a, b := list[r.rng.IntN(len(list))], list[r.rng.IntN(len(list))]
-			if b.load() < a.load() || b.load() == a.load() && b.Cell == q.holder.Cell {
-				a = b
+		for _, list := range scopes {
+			if len(list) > 0 {
+				return r.lessLoaded(list)
 			}
-			return a
 		}
 	}
 	return nil
 }
 
-// ---- attempts ----
+// cell is the part of all reads, and of all answers, that the servers of one rack take.
+type cell struct{ reads, writes float64 }
+
+// balance works out what each server takes of all traffic and each cell of reads and answers; every router
+// comes to the same. Readers beside many writers read more, as far as the pool of readers has reserves.
+func (r *Router) balance() {
+	r.cells, r.space, r.writers = map[uint16]*cell{}, 0, 0
+	var pool [3]float64
+	r.ready = r.ready[:0]
+	for _, s := range r.order {
+		if r.cells[s.Cell] == nil {
+			r.cells[s.Cell] = &cell{}
+		}
+		if s.State != Ready {
+			continue
+		}
+		r.ready = append(r.ready, s)
+		switch s.share = s.Weight; s.role {
+		case Reader:
+			r.cells[s.Cell].reads += s.share
+		case Writer:
+			if !r.warm(s) {
+				s.share *= r.coldShare(s.role)
+			}
+			r.cells[s.Cell].writes += s.share
+		}
+		if pool[s.role] += s.share; s.role != Reader {
+			r.space += s.capacity
+			r.writers++
+		}
+	}
+	writers, reads := max(pool[Writer], minWeight), 0.0
+	for _, s := range r.ready {
+		if c := r.cells[s.Cell]; s.role == Reader {
+			skew := math.Sqrt(c.writes / c.reads * pool[Reader] / writers)
+			s.share *= min(max(skew, 1/cellSkew), cellSkew)
+			reads += s.share
+		}
+	}
+	for _, c := range r.cells {
+		c.reads, c.writes = 0, c.writes/writers
+	}
+	for _, s := range r.ready {
+		switch all := writers + mixedPart*pool[Mixed]; s.role {
+		case Reader:
+			r.cells[s.Cell].reads += s.share / reads
+			s.share *= writers / reads / all
+		case Mixed:
+			s.share *= mixedPart / all
+		}
+	}
+}
+
+// book adds an attempt to what we have out, or takes it off again.
+func (r *Router) book(s *server, q *request, n float64) {
+	if s.role == Reader {
+		r.reads += n
+		return
+	}
+	s.tokens += n * q.need
+	r.tokens += n * q.need
+	r.sent += max(n, 0) * q.need
+}
 
 // send starts the next attempt of a request.
 func (r *Router) send(q *request, s *server) {
 	q.at, q.sentAt, q.out = s, r.now, true
 	q.attempts++
-	if s.role == Reader {
-		s.reads++
-	} else {
-		s.streams++
-		s.tokens += q.need
-		s.sent += q.need
-	}
+	r.book(s, q, 1)
 	if q.toRead = q.PromptLen; q.holder == nil {
 		q.toRead = r.uncached(q, s)
 	}
@@ -486,15 +511,10 @@
 		q.session.last, q.session.length = s, q.PromptLen
 	}
 	s.out = append(s.out, q)
-	s.credit -= r.work[q.Class]
-	timeout := q.Deadline.Sub(r.now)
-	if !r.set.MayCancel && q.attempts < r.set.MaxAttempts && (s.role == Reader || q.class.Effect != Unsafe) {
-		timeout = time.Duration(retryShare * float64(timeout))
-	}
 	if s.aside() {
-		s.nextTrial = r.now.Add(s.trialWait)
+		s.nextTrial = r.now.Add(trialEvery)
 	}
-	r.do(Send{ID: q.ID, Server: s.ID, Timeout: max(timeout, time.Millisecond)})
+	r.do(Send{ID: q.ID, Server: s.ID, Timeout: max(q.Deadline.Sub(r.now), time.Millisecond)})
 }
 
 func (r *Router) started(ev Started) {
@@ -518,12 +538,7 @@
 	if i := slices.Index(s.out, q); i >= 0 {
 		s.out = slices.Delete(s.out, i, i+1)
 	}
-	if s.role == Reader {
-		s.reads--
-	} else {
-		s.streams--
-		s.tokens -= q.need
-	}
+	r.book(s, q, -1)
 	q.restedAt = r.now
 	r.report(s, ev.Report)
 	r.judge(q, s, ev)
@@ -556,9 +571,8 @@
 	r.next(q)
 }
 
-// next sends a request on from where it stands, or answers it at once. Where
-// every writer has failed it once, all may be tried again; a state that none takes now
-// waits at its reader for the next tick, until its pin limit is near.
+// next sends a request on from where it stands, or answers it at once. Where every writer has failed it once,
+// all may be tried again; a state that none takes now rests at its reader until its pin limit is near.
 func (r *Router) next(q *request) {
 	if q.attempts >= r.set.MaxAttempts || r.now >= q.Deadline || !r.mayRepeat(q) {
 		r.giveUp(q)
@@ -620,8 +634,6 @@
 	}
 }
 
-// ---- health ----
-
 // usable tells whether a request may go to a server: listed, well or due for a
 // trial, not resting, not failed for this request before, within its cold budget.
 func (r *Router) usable(s *server, q *request) bool {
@@ -631,25 +643,28 @@
 	if s.aside() && (r.now < s.nextTrial || len(s.out) > 0 || q.class.Effect != Safe) {
 		return false
 	}
-	return r.coldRoom(s, r.work[q.Class])
+	return r.warm(s) || r.mayWarm(s, q)
 }
 
 // aside tells that a server is set aside; load is our work there for its size.
 func (s *server) aside() bool   { return s.ill > illAt }
-func (s *server) load() float64 { return (s.reads + s.streams) / s.Weight }
+func (s *server) load() float64 { return float64(len(s.out)) / s.Weight }
 
 // judge books an outcome to its server's health.
 func (r *Router) judge(q *request, s *server, ev Outcome) {
+	turned := 0.0
 	switch ev.Result {
-	case OK:
-		r.good(s)
-		s.done += r.work[q.Class]
-		blend(&r.duration[q.Class], ev.Took.Seconds(), meanAlpha)
-		r.checkSlow(s, ev.Took.Seconds()/r.duration[q.Class])
-	case ReadDone:
-		r.good(s)
-		s.done += r.work[q.Class]
-		r.checkSlow(s, r.sample(s, ev.Took.Seconds(), max(q.PromptLen-float64(ev.Note), 0)))
+	case OK, ReadDone:
+		s.ill *= 1 - illAlpha
+		s.nextTrial = r.now
+		mean, value := &r.duration[q.Class], ev.Took.Seconds()
+		if ev.Result == ReadDone {
+			mean, value = &r.unit[Reader], r.sample(s, value, max(q.PromptLen-float64(ev.Note), 0))
+		}
+		r.checkSlow(s, value/cmp.Or(*mean, value))
+		if ev.Result == OK {
+			blend(mean, value, meanAlpha)
+		}
 	case Failed:
 		r.bad(s, illAlpha, "errors")
 	case TimedOut:
@@ -657,26 +672,13 @@
 			r.bad(s, illAlpha, "time-outs")
 		}
 	case ConnectFailed, Reset:
-		s.lost = true
 		r.bad(s, 1, "out of reach")
 	case Full:
 		if ev.Note == 0 {
-			s.restUntil = r.now.Add(fullPause)
+			s.restUntil, turned = r.now.Add(fullPause), 1
 		}
 	}
-}
-
-// good notes an attempt that went well. A server back in reach may be a new process: it counts as cold.
-func (r *Router) good(s *server) {
-	if s.lost {
-		s.lost, s.ill, s.coldAt = false, illAt, max(s.coldAt, r.now.Add(shyFor-r.set.ColdFor))
-		s.credit, s.creditAt = 0, r.now
-	}
-	s.nextTrial = r.now
-	s.ill *= 1 - illAlpha
-	if !s.aside() {
-		s.trialWait = trialFirst
-	}
+	r.turned[s.role] += unitAlpha * (turned - r.turned[s.role])
 }
 
 // bad notes a failed attempt. weight 1 sets the server aside at once.
@@ -685,21 +687,18 @@
 		return
 	}
 	was := s.aside()
-	s.ill += weight * (1 - s.ill)
-	if was {
-		s.trialWait = min(s.trialWait*3/2, trialMost)
-	} else if s.aside() {
+	if s.ill += weight * (1 - s.ill); !was && s.aside() {
 		r.do(Log{Text: fmt.Sprintf("server %x set aside: %s", s.ID, why)})
 	}
-	s.nextTrial = r.now.Add(s.trialWait)
+	s.nextTrial = r.now.Add(trialEvery)
 }
 
 // crowded tells that so much of a role is aside that no more may follow for errors,
 // slowness or silence: a fault that most share is not the servers'.
 func (r *Router) crowded(s *server) bool {
 	all, well := 0.0, 0.0
-	for _, t := range r.order {
-		if t.role == s.role && t.State == Ready {
+	for _, t := range r.ready {
+		if t.role == s.role {
 			all++
 			if t != s && !t.aside() {
 				well++
@@ -709,12 +708,12 @@
 	return well < all*(1-asideCap)
 }
 
-// median of a figure over the well servers of a role; 0 if there are none.
-func (r *Router) median(role Role, figure func(*server) float64) float64 {
-	var list []float64
-	for _, s := range r.order {
-		if s.role == role && s.State == Ready && !s.aside() {
-			list = append(list, figure(s))
+// medianLoad is the median of our load at the well servers of a role; 0 if there are none.
+func (r *Router) medianLoad(role Role) float64 {
+	list := []float64{}
+	for _, s := range r.ready {
+		if s.role == role && !s.aside() {
+			list = append(list, s.load())
 		}
 	}
 	slices.Sort(list)
@@ -725,51 +724,38 @@
 // sample takes in the time to the end of a read or to a first token.
 func (r *Router) sample(s *server, seconds, tokens float64) (unit float64) {
 	unit = seconds / (tokens + unitBase)
-	if r.now.Sub(s.sampleAt) > 2*statAge {
-		s.unit = 0
-	}
-	blend(&s.unit, unit, unitAlpha)
-	s.sampleAt = r.now
+	mean, best := &r.unit[s.role], &r.best[s.role]
+	blend(mean, min(unit, sampleCap*cmp.Or(*mean, unit)), unitAlpha) // one sick server weighs no more than this
+	sink(best, unit)
+	r.unitAt[s.role] = r.now
 	return unit
 }
 
-// checkSlow sets aside a server whose better times, which a queue leaves alone, are slow for its role.
-func (r *Router) checkSlow(s *server, value float64) {
-	alpha := unitAlpha / 2
-	if value < s.pace {
-		alpha = 0.5
-	}
-	blend(&s.pace, value, alpha)
-	s.samples++
-	median := r.median(s.role, func(t *server) float64 { return t.pace })
-	if s.samples >= slowSamples && median > 0 && value > slowAt*median && s.pace > slowAt*median {
+// checkSlow sets aside a server whose better times are slow against its role's mean: peers, not its own
+// past, so that one that slows ever more shows too.
+func (r *Router) checkSlow(s *server, times float64) {
+	sink(&s.pace, times)
+	if min(times, s.pace) > slowAt {
 		r.bad(s, illAlpha, "slow")
 	}
 }
 
-// unitNow is a server's time a token, fading without news.
-func (r *Router) unitNow(s *server) float64 {
-	return s.unit * math.Exp(-max(0, r.now.Sub(s.sampleAt).Seconds())/statAge.Seconds())
-}
+// warm tells that a server's start is long ago.
+func (r *Router) warm(s *server) bool { return s.coldAt == 0 || r.now.Sub(s.coldAt) >= r.set.ColdFor }
 
-// coldRoom tells whether a cold server may be sent one more. The danger is a
-// server that has just started and falls over. Its credit grows at a part of what
-// warm peers of its role finish for us; how it warms up is not told, so it counts as
-// at its coldest throughout. It also spares a server that was cut off. It hurts
-// where all of a role is cold: then each gets a request now and then.
-func (r *Router) coldRoom(s *server, work float64) bool {
-	if s.coldAt == 0 || r.now.Sub(s.coldAt) >= r.set.ColdFor {
-		return true
-	}
-	window := r.set.FallAfter.Seconds()
-	pace := r.rate[s.role] * r.set.ColdFrom * r.set.FallMultiple * coldMargin
-	pace = max(pace, work/(2*window*float64(r.set.Routers)))
-	s.credit = min(s.credit+pace*r.now.Sub(s.creditAt).Seconds(), max(work, pace*window/2))
-	s.creditAt = r.now
-	return s.credit >= work
+// coldShare is what a cold server may be sent of what warm ones take: less where many are turned away.
+func (r *Router) coldShare(role Role) float64 {
+	return r.set.ColdFrom * r.set.FallMultiple * coldMargin * (1 - r.turned[role])
 }
 
-// ---- the tick ----
+// mayWarm tells whether a request may go to cold servers at all. The danger is a server that has just
+// started and falls over. Chance decides, for the request's first try at a stage alone: so all routers
+// together send a cold server a part of what its warm peers are sent, however few requests each has.
+// It hurts where all of a role is cold: then few requests are taken.
+func (r *Router) mayWarm(s *server, q *request) bool {
+	return q.attempts <= min(int(s.role), 1) &&
+		fraction(uint64(q.ID)^r.set.Seed, ServerID(s.role)) < r.coldShare(s.role)
+}
 
 func (r *Router) tick() {
 	r.do(SetTimer{After: tickEvery})
@@ -783,21 +769,38 @@
 	}
 	for _, s := range r.order {
 		r.checkSilence(s)
-		if r.set.MayProbe && s.State != Gone && !s.probing && r.now.Sub(s.probeAt) >= probeEvery {
-			s.probing, s.probeAt = true, r.now
-			r.do(Probe{Server: s.ID})
-		}
 	}
+	r.probe()
 	if r.now.Sub(r.swept) >= probeEvery {
 		r.sweep()
 	}
 }
 
+// probe asks the server not asked for longest, no more often than requests come: among many routers one
+// probe a second to each server would be a load of its own.
+func (r *Router) probe() {
+	var next *server
+	for _, s := range r.order {
+		if s.State != Gone && !s.probing && (next == nil || s.probeAt < next.probeAt) {
+			next = s
+		}
+	}
+	if !r.set.MayProbe || r.probes < 1 || next == nil || r.now.Sub(next.probeAt) < probeEvery {
+		return
+	}
+	r.probes = 0
+	next.probing, next.probeAt = true, r.now
+	r.do(Probe{Server: next.ID})
+}
+
 // lift lets long waiters jump ahead, and refuses those whose aim has gone.
 func (r *Router) lift() {
-	late := slices.DeleteFunc(slices.Clone(r.held), func(q *request) bool { return !r.tooLate(q) })
+	var late []*request
 	for _, q := range r.held {
 		q.lifted = float64(q.session.wait+r.now.Sub(q.arrived)) > liftAt*float64(q.session.cst)
+		if r.tooLate(q) {
+			late = append(late, q)
+		}
 	}
 	heap.Init(&r.held)
 	slices.SortFunc(late, func(a, b *request) int { return cmp.Compare(a.seq, b.seq) })
@@ -809,19 +812,22 @@
 // checkSilence sets aside a server that has held an attempt without a sign for
 // longer than its role needs, and takes back what may be sent elsewhere.
 func (r *Router) checkSilence(s *server) {
-	i := slices.IndexFunc(s.out, func(q *request) bool { return !q.started && !q.ended })
-	if i < 0 {
-		return
-	}
+	var first *request
 	tokens := 0.0
 	for _, q := range s.out {
 		if !q.started {
 			tokens += q.toRead + unitBase
+			if first == nil && !q.ended {
+				first = q
+			}
 		}
 	}
-	usual := r.median(s.role, func(t *server) float64 { return t.unit }) * tokens
-	patience := max(silenceMin, time.Duration(silenceRole*usual*float64(time.Second)))
-	if r.now.Sub(max(s.signAt, s.out[i].sentAt)) < patience || r.crowded(s) {
+	if first == nil {
+		return
+	}
+	usual := r.unit[s.role] * tokens
+	patience := max(first.aim.Sub(first.arrived), time.Duration(silenceRole*usual*float64(time.Second)))
+	if r.now.Sub(max(s.signAt, first.sentAt)) < patience || r.crowded(s) {
 		return
 	}
 	s.signAt = r.now
@@ -837,47 +843,36 @@
 // probed takes in a probe: some sites' only source of load reports, or of signs of life.
 func (r *Router) probed(ev ProbeResult) {
 	s := r.servers[ev.Server]
+	if s == nil {
+		return
+	}
 	s.probing = false
 	if r.report(s, ev.Report); ev.Result == TimedOut || ev.Result == ConnectFailed || ev.Result == Reset {
-		s.lost = true
 		r.bad(s, 1, "probe unanswered")
 	}
 }
 
-// sweep drops idle sessions and renews the rates at which warm servers of each
-// role take work from us.
+// sweep drops idle sessions and lets what was counted fade.
 func (r *Router) sweep() {
 	span := r.now.Sub(r.swept).Seconds()
 	r.swept = r.now
 	blend(&r.flow, r.released/span, unitAlpha)
 	r.released = 0
-	for tenant := range r.usage {
-		r.usage[tenant] = max(0, r.usage[tenant]-span*r.allowance(tenant))
-	}
 	for id, s := range r.sessions {
 		if r.now.Sub(s.seen) > sessionIdle {
 			delete(r.sessions, id)
 		}
 	}
-	var sum, n [3]float64
-	for _, s := range r.order {
-		if s.coldAt == 0 || r.now.Sub(s.coldAt) >= r.set.ColdFor {
-			sum[s.role] += s.done
-			if s.State == Ready && !s.aside() {
-				n[s.role]++
-			}
-		}
-		s.done = 0
-	}
-	for role := range r.rate {
-		if n[role] > 0 {
-			r.rate[role] = max(r.rate[role]*rateFade, sum[role]/n[role]/span)
+	r.seen *= seenKept
+	r.sent *= sendsKept
+	for prefix := range r.prefixes {
+		if r.prefixes[prefix] *= seenKept; r.prefixes[prefix] < minWeight {
+			delete(r.prefixes, prefix)
 		}
 	}
+	r.balance()
 }
 
-// ---- the fleet ----
-
 // fleet applies news of the server list. A server that drains or is gone gets
 // nothing more from this moment on, which keeps the drain rule at once.
 func (r *Router) fleet(ev Fleet) {
@@ -886,26 +881,27 @@
 		listed[e.ID] = true
 		s := r.servers[e.ID]
 		if s == nil {
-			s = &server{trialWait: trialFirst}
+			s = &server{probeAt: Time(r.rng.Uint64N(1000))} // each router in its own order
 			r.servers[e.ID] = s
 			r.order = append(r.order, s)
 		}
 		if e.Since > s.coldAt && e.State == Ready { // a new process: what we knew is void
-			s.coldAt, s.ill, s.lost, s.samples, s.trialWait = e.Since, 0, false, 0, trialFirst
-			s.credit, s.creditAt, s.unit, s.pace = 0, r.now, 0, 0
+			s.coldAt, s.ill, s.pace = e.Since, 0, 0
 		}
 		e.Weight = max(e.Weight, minWeight)
 		s.Server = e
 		s.role, s.capacity = r.set.KindRole[e.Kind], r.set.KindMemory[e.Kind]
 	}
 	slices.SortFunc(r.order, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
-	r.pool = [3]float64{}
-	for _, s := range r.order {
+	r.order = slices.DeleteFunc(r.order, func(s *server) bool {
 		if ev.Full && !listed[s.ID] {
 			s.State = Gone
 		}
-		if s.State == Ready {
-			r.pool[s.role] += s.Weight
+		if s.State != Gone || len(s.out) > 0 {
+			return false
 		}
-	}
+		delete(r.servers, s.ID)
+		return true
+	})
+	r.balance()
 }
