--- a/control/control.go
+++ b/control/control.go
@@ -221,11 +221,11 @@
 }
 
 // sink moves an average fast to better, lower values and slowly to others: a queue leaves it alone.
-func sink(best *float64, value float64) {
+func sink(best *float64, value, up float64) {
 	if value < *best {
 		blend(best, value, bestAlpha)
 	}
-	blend(best, value, unitAlpha)
+	blend(best, value, up)
 }
 
 // queue is the heap of held requests: lifted ones in order of arrival, then the lowest CST.
@@ -349,9 +349,9 @@
 	return max(q.PromptLen-kept, 0)
 }
 
-// pickReader returns the session's last reader unless it is overloaded, else the less loaded of two of the first
-// few in its prefix's order: so many that none takes more of it than its share of all, by what we saw of
-// it and some others taken as seen. All routers come to much the same.
+// pickReader returns the session's last reader unless it is overloaded, else the less loaded of two of the
+// first few in its prefix's order: so many that none takes more of it than its share of all, by what we saw
+// of it and some others taken as seen. All routers come to much the same.
 func (r *Router) pickReader(q *request) *server {
 	medians := [3]float64{Reader: r.medianLoad(Reader), Mixed: mixedPart * r.medianLoad(Writer)}
 	fits := func(s *server) bool {
@@ -726,7 +726,7 @@
 	unit = seconds / (tokens + unitBase)
 	mean, best := &r.unit[s.role], &r.best[s.role]
 	blend(mean, min(unit, sampleCap*cmp.Or(*mean, unit)), unitAlpha) // one sick server weighs no more than this
-	sink(best, unit)
+	sink(best, unit, meanAlpha)
 	r.unitAt[s.role] = r.now
 	return unit
 }
@@ -734,7 +734,7 @@
 // checkSlow sets aside a server whose better times are slow against its role's mean: peers, not its own
 // past, so that one that slows ever more shows too.
 func (r *Router) checkSlow(s *server, times float64) {
-	sink(&s.pace, times)
+	sink(&s.pace, times, unitAlpha)
 	if min(times, s.pace) > slowAt {
 		r.bad(s, illAlpha, "slow")
 	}
