Writers even over zones; better times rise with time

Cause: writers of a zone with many readers took twice the mean of sends, since a zone kept all that its cells had over; and estimates of the first token rose too slowly at routers with a sample a second. Failed try: a cell's part of reads by our own sends (too noisy at one request a second), reverted.

--- a/control/control.go
+++ b/control/control.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -24,7 +25,6 @@
 	overMedian  = 2.0                   // a reader with so many times the median of our sends is passed over
 )
 
-// Values that the design leaves open.
 const (
 	memoryPart   = 1.3  // our part of a writer's memory, over 1/routers: clients spread unevenly
 	outShare     = 0.3  // share of MaxTokens that an answer is taken to need, before it is known
@@ -137,7 +137,7 @@
 	reads, tokens  float64    // our reads under way; memory that our answers need
 	dither         float64    // the part of a request for which there must be room
 	probes         float64    // that we may send
-	cells          map[uint16]*cell
+	cells, zones   map[uint16]*cell
 	prefixes       map[uint64]float64 // requests with each prefix, fading
 	seen           float64            // and all requests
 }
@@ -329,11 +329,7 @@
 // eta is the least time in which a request could yet get its first token.
 func (r *Router) eta(q *request) time.Duration {
 	t := 0.0
-	for _, role := range []Role{Reader, Writer} {
-		tokens := q.PromptLen
-		if role == Reader {
-			tokens = r.uncached(q, q.session.last)
-		}
+	for role, tokens := range []float64{Reader: r.uncached(q, q.session.last), Writer: q.PromptLen} {
 		age := r.now.Sub(r.unitAt[role]).Seconds() / statAge.Seconds()
 		t += r.best[role] * (tokens + unitBase) * math.Exp(-age)
 	}
@@ -408,7 +404,7 @@
 // far as its writers can take what its readers read, else from those of its zone that have more than their
 // cell needs, else from all such. Mixed servers take a state only when no writer can.
 func (r *Router) pickWriter(q *request) *server {
-	chance := r.rng.Float64()
+	chance, onward := r.rng.Float64(), r.rng.Float64()
 	var scopes [4][]*server // its cell, what others of its zone can spare, what all can, all
 	add := func(scope int, s *server) { scopes[scope] = append(scopes[scope], s) }
 	for _, role := range []Role{Writer, Mixed} {
@@ -417,13 +413,14 @@
 				continue
 			}
 			add(3, s)
-			if c := r.cells[s.Cell]; s.Cell == q.holder.Cell && chance*c.reads <= c.writes {
+			c, z := r.cells[s.Cell], r.zones[s.Zone]
+			switch spare := r.rng.Float64()*c.writes < c.writes-c.reads; {
+			case s.Cell == q.holder.Cell && chance*c.reads <= c.writes:
 				add(0, s)
-			} else if r.rng.Float64()*c.writes < c.writes-c.reads {
+			case spare && s.Zone == q.holder.Zone && onward*z.reads <= z.writes:
+				add(1, s)
+			case spare && r.rng.Float64()*z.writes < z.writes-z.reads:
 				add(2, s)
-				if s.Zone == q.holder.Zone {
-					add(1, s)
-				}
 			}
 		}
 		for _, list := range scopes {
@@ -435,18 +432,21 @@
 	return nil
 }
 
-// cell is the part of all reads, and of all answers, that the servers of one rack take.
-type cell struct{ reads, writes float64 }
+// cell is the part of all reads and answers that the servers of a rack take, or what the cells of a zone leave.
+type cell struct {
+	reads, writes float64
+	zone          uint16
+}
 
 // balance works out what each server takes of all traffic and each cell of reads and answers; every router
 // comes to the same. Readers beside many writers read more, as far as the pool of readers has reserves.
 func (r *Router) balance() {
-	r.cells, r.space, r.writers = map[uint16]*cell{}, 0, 0
+	r.cells, r.zones, r.space, r.writers = map[uint16]*cell{}, map[uint16]*cell{}, 0, 0
 	var pool [3]float64
 	r.ready = r.ready[:0]
 	for _, s := range r.order {
 		if r.cells[s.Cell] == nil {
-			r.cells[s.Cell] = &cell{}
+			r.cells[s.Cell], r.zones[s.Zone] = &cell{zone: s.Zone}, &cell{}
 		}
 		if s.State != Ready {
 			continue
@@ -486,6 +486,11 @@
 			s.share *= mixedPart / all
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(r.cells)) { // what cells leave over goes to their zone
+		c := r.cells[id]
+		r.zones[c.zone].reads += max(c.reads-c.writes, 0)
+		r.zones[c.zone].writes += max(c.writes-c.reads, 0)
+	}
 }
 
 // book adds an attempt to what we have out, or takes it off again.
@@ -535,9 +540,7 @@
 		return
 	}
 	q.out = false
-	if i := slices.Index(s.out, q); i >= 0 {
-		s.out = slices.Delete(s.out, i, i+1)
-	}
+	s.out = slices.DeleteFunc(s.out, func(o *request) bool { return o == q })
 	r.book(s, q, -1)
 	q.restedAt = r.now
 	r.report(s, ev.Report)
@@ -726,7 +729,7 @@
 	unit = seconds / (tokens + unitBase)
 	mean, best := &r.unit[s.role], &r.best[s.role]
 	blend(mean, min(unit, sampleCap*cmp.Or(*mean, unit)), unitAlpha) // one sick server weighs no more than this
-	sink(best, unit, meanAlpha)
+	sink(best, unit, 1-math.Exp(-r.now.Sub(r.unitAt[s.role]).Seconds()/statAge.Seconds()))
 	r.unitAt[s.role] = r.now
 	return unit
 }
@@ -825,8 +828,8 @@
 	if first == nil {
 		return
 	}
-	usual := r.unit[s.role] * tokens
-	patience := max(first.aim.Sub(first.arrived), time.Duration(silenceRole*usual*float64(time.Second)))
+	usual := time.Duration(r.unit[s.role] * tokens * float64(time.Second))
+	patience := max(first.aim.Sub(first.arrived), silenceRole*usual)
 	if r.now.Sub(max(s.signAt, first.sentAt)) < patience || r.crowded(s) {
 		return
 	}
