--- a/control/control.go
+++ b/control/control.go
@@ -432,7 +432,7 @@
 	return nil
 }
 
-// cell is the part of all reads and answers that the servers of a rack take, or what the cells of a zone leave.
+// cell is the part of all reads and answers that the servers of a rack take, or what a zone's racks leave.
 type cell struct {
 	reads, writes float64
 	zone          uint16
