--- a/control/control.go
+++ b/control/control.go
@@ -33,6 +33,7 @@
 	heldByChance = 3    // so many held ahead of a request say nothing of how fast they go
 	fewReads     = 3.0  // reads at one reader that are never too many
 	cellSkew     = 1.4  // a reader beside many writers reads up to so much more: readers have reserves
+	mixedLag     = 1.3  // a mixed server's answers may take so many times a writer's; beyond, it gets less
 	mixedPart    = 0.6  // what a mixed server answers whole, against a writer's answers
 	unitBase     = 500  // tokens; fixed cost of a read, in prompt tokens
 	unitAlpha    = 0.2  // weight of a new sample in a server's times
@@ -129,6 +130,7 @@
 	duration       []float64  // mean seconds of an answer, by class
 	unit           [3]float64 // time a token of each role, lately, over all its servers
 	unitAt         [3]Time    // and when it was last seen
+	times          [3]float64 // how long its answers take, over the mean of their class
 	best           [3]float64 // its better times
 	turned         [3]float64 // share of attempts that it turned away, lately
 	space, writers float64    // memory of the servers that take states, and their number
@@ -379,8 +381,8 @@
 
 // lessLoaded returns of two random servers the one with less of our work.
 func (r *Router) lessLoaded(list []*server) *server {
-	a, b := list[r.rng.IntN(len(list))], list[r.rng.IntN(len(list))]
-	if b.load() < a.load() {
+	a := list[r.rng.IntN(len(list))]
+	if b := list[r.rng.IntN(len(list))]; b.load() < a.load() {
 		return b
 	}
 	return a
@@ -467,6 +469,7 @@
 		}
 	}
 	writers, reads := max(pool[Writer], minWeight), 0.0
+	part := mixedPart * min(mixedLag*cmp.Or(r.times[Writer], 1)/cmp.Or(r.times[Mixed], 1), 1)
 	for _, s := range r.ready {
 		if c := r.cells[s.Cell]; s.role == Reader {
 			skew := math.Sqrt(c.writes / c.reads * pool[Reader] / writers)
@@ -478,12 +481,12 @@
 		c.reads, c.writes = 0, c.writes/writers
 	}
 	for _, s := range r.ready {
-		switch all := writers + mixedPart*pool[Mixed]; s.role {
+		switch all := writers + part*pool[Mixed]; s.role {
 		case Reader:
 			r.cells[s.Cell].reads += s.share / reads
 			s.share *= writers / reads / all
 		case Mixed:
-			s.share *= mixedPart / all
+			s.share *= part / all
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.cells)) { // what cells leave over goes to their zone
@@ -666,6 +669,7 @@
 		}
 		r.checkSlow(s, value/cmp.Or(*mean, value))
 		if ev.Result == OK {
+			blend(&r.times[s.role], value/cmp.Or(*mean, value), unitAlpha)
 			blend(mean, value, meanAlpha)
 		}
 	case Failed:
@@ -861,11 +865,7 @@
 	r.swept = r.now
 	blend(&r.flow, r.released/span, unitAlpha)
 	r.released = 0
-	for id, s := range r.sessions {
-		if r.now.Sub(s.seen) > sessionIdle {
-			delete(r.sessions, id)
-		}
-	}
+	maps.DeleteFunc(r.sessions, func(_ uint64, s *session) bool { return r.now.Sub(s.seen) > sessionIdle })
 	r.seen *= seenKept
 	r.sent *= sendsKept
 	for prefix := range r.prefixes {
