--- a/control/control.go
+++ b/control/control.go
@@ -59,6 +59,7 @@
 	statAge     = 2 * time.Second        // without news, an estimate fades over this time
 	probeEvery  = time.Second            // between probes of one server, and between sweeps of the tables
 	reportStale = 4 * time.Second        // an older load report is no longer believed
+	turnedMost  = 0.3                    // share of reads turned away above which two tries are enough
 	fullPause   = 200 * time.Millisecond // a server that turned us away rests for this long
 )
 
@@ -379,7 +380,6 @@
 	return nil
 }
 
-// lessLoaded returns of two random servers the one with less of our work.
 func (r *Router) lessLoaded(list []*server) *server {
 	a := list[r.rng.IntN(len(list))]
 	if b := list[r.rng.IntN(len(list))]; b.load() < a.load() {
@@ -496,7 +496,6 @@
 	}
 }
 
-// book adds an attempt to what we have out, or takes it off again.
 func (r *Router) book(s *server, q *request, n float64) {
 	if s.role == Reader {
 		r.reads += n
@@ -577,10 +576,12 @@
 	r.next(q)
 }
 
-// next sends a request on from where it stands, or answers it at once. Where every writer has failed it once,
-// all may be tried again; a state that none takes now rests at its reader until its pin limit is near.
+// next sends a request on or answers it at once: also when two readers turned it away while many are turned
+// away, since more tries load the others. Where every writer has failed it once, all may be tried again; a
+// state that none takes now rests at its reader until its pin limit is near.
 func (r *Router) next(q *request) {
-	if q.attempts >= r.set.MaxAttempts || r.now >= q.Deadline || !r.mayRepeat(q) {
+	turned := q.holder == nil && len(q.shunned) > 1 && r.turned[Reader] > turnedMost
+	if turned || q.attempts >= r.set.MaxAttempts || r.now >= q.Deadline || !r.mayRepeat(q) {
 		r.giveUp(q)
 		return
 	}
@@ -652,7 +653,6 @@
 	return r.warm(s) || r.mayWarm(s, q)
 }
 
-// aside tells that a server is set aside; load is our work there for its size.
 func (s *server) aside() bool   { return s.ill > illAt }
 func (s *server) load() float64 { return float64(len(s.out)) / s.Weight }
 
--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -226,3 +226,23 @@
 		t.Fatalf("left behind: %d requests, %d sessions", len(s.r.requests), len(s.r.sessions))
 	}
 }
+
+func TestRequestTurnedAwayTwiceIsRefusedWhileManyAreTurnedAway(t *testing.T) {
+	s := start(t, settings(Reader, Writer))
+	s.do(0, Fleet{Full: true, Servers: servers(20, 20)})
+	acts := s.do(0, s.request(1, 0))
+	for attempt := range 2 {
+		acts = s.do(ms, Outcome{ID: 1, Attempt: attempt, Server: s.sent(acts).Server, Result: Full})
+	}
+	if len(only[Refuse](acts)) != 1 {
+		t.Fatalf("a third try where all are full: %v", acts)
+	}
+	play([]*script{s}, 30, func(s *script, id RequestID) Request { return s.request(id, 0) })
+	acts = s.do(0, s.request(2, 0))
+	for attempt := range 2 { // now hardly any are: there may be room elsewhere
+		acts = s.do(ms, Outcome{ID: 2, Attempt: attempt, Server: s.sent(acts).Server, Result: Full})
+		if len(only[Send](acts)) != 1 && attempt == 0 {
+			t.Fatalf("given up at once: %v", acts)
+		}
+	}
+}
