--- a/control/control.go
+++ b/control/control.go
@@ -54,6 +54,7 @@
 	coldMargin   = 0.4  // share of the fall-over budget that is spent: the rest is for chance and neighbours
 
 	trialEvery  = 2 * time.Second        // wait before a server set aside gets a trial, and between trials
+	silenceAim  = 1.5                    // and shorter than so many times a content client's wait means nothing
 	silenceRole = 4.0                    // silence beyond this multiple of the role's usual time is an illness
 	maxEta      = 60.0                   // seconds; no estimate is longer
 	statAge     = 2 * time.Second        // without news, an estimate fades over this time
@@ -715,7 +716,6 @@
 	return well < all*(1-asideCap)
 }
 
-// medianLoad is the median of our load at the well servers of a role; 0 if there are none.
 func (r *Router) medianLoad(role Role) float64 {
 	list := []float64{}
 	for _, s := range r.ready {
@@ -747,7 +747,6 @@
 	}
 }
 
-// warm tells that a server's start is long ago.
 func (r *Router) warm(s *server) bool { return s.coldAt == 0 || r.now.Sub(s.coldAt) >= r.set.ColdFor }
 
 // coldShare is what a cold server may be sent of what warm ones take: less where many are turned away.
@@ -833,7 +832,8 @@
 		return
 	}
 	usual := time.Duration(r.unit[s.role] * tokens * float64(time.Second))
-	patience := max(first.aim.Sub(first.arrived), silenceRole*usual)
+	content := time.Duration(silenceAim * float64(first.aim.Sub(first.arrived)))
+	patience := max(content, silenceRole*usual)
 	if r.now.Sub(max(s.signAt, first.sentAt)) < patience || r.crowded(s) {
 		return
 	}
