Epoll loop, timing wheel and HTTP/1.1 parser for the running router

The users want to run the decisions on sockets; this is the ground for it: one epoll loop (level-triggered, output gathered per turn, pooled and bounded buffers, EMFILE and connection bounds), a wheel of six levels for its timers, and an incremental parser that refuses whatever two parsers could read differently.

--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,184 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+var limits = Limits{Line: 200, Headers: 600, Fields: 8, Body: 1000}
+
+type message struct {
+	line, body string
+	chunked    bool
+	keepAlive  bool
+}
+
+// read parses all messages of a stream that comes in pieces of a size.
+func read(p *Parser, in []byte, piece int) (got []message, err *Error) {
+	var m message
+	from := 0
+	for to := min(piece, len(in)); ; to = min(to+piece, len(in)) {
+		for {
+			window := append([]byte(nil), in[from:to]...) // a fresh copy: nothing may lean on older bytes
+			used, kind, data, err := p.Next(window)
+			from += used
+			if err != nil {
+				return got, err
+			}
+			if kind == More {
+				break
+			}
+			switch kind {
+			case HeadDone:
+				h := &p.Head
+				m = message{line: fmt.Sprintf("%s %s %d", h.Method, h.Target, h.Status), chunked: h.Chunked, keepAlive: h.KeepAlive}
+			case Data:
+				m.body += string(data)
+			case End:
+				got = append(got, m)
+			}
+		}
+		if to == len(in) {
+			if p.response && p.Close() {
+				got = append(got, m)
+			}
+			return got, nil
+		}
+	}
+}
+
+func TestRequests(t *testing.T) {
+	const host = "Host: a\r\n"
+	post := func(rest string) string { return "POST /p HTTP/1.1\r\n" + host + rest }
+	for _, c := range []struct {
+		name, in string
+		status   int // 0 for good
+		bodies   string
+	}{
+		{"plain", "GET / HTTP/1.1\r\n" + host + "\r\n", 0, "|"},
+		{"empty line before", "\r\nGET / HTTP/1.1\r\n" + host + "\r\n", 0, "|"},
+		{"length", post("Content-Length: 3\r\n\r\nabc"), 0, "abc|"},
+		{"pipelined", post("Content-Length: 3\r\n\r\nabc") + "GET / HTTP/1.1\r\n" + host + "\r\n" + post("Content-Length: 1\r\n\r\nd"), 0, "abc||d|"},
+		{"chunked", post("Transfer-Encoding: Chunked\r\n\r\n3;x=\"y\"\r\nabc\r\nA\r\n0123456789\r\n0\r\nT: v\r\n\r\n"), 0, "abc0123456789|"},
+		{"1.0", "GET / HTTP/1.0\r\n\r\n", 0, "|"},
+		{"expect", post("Expect: 100-continue\r\nContent-Length: 1\r\n\r\nx"), 0, "x|"},
+		{"two lengths", post("Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc"), 400, ""},
+		{"list of lengths", post("Content-Length: 3, 3\r\n\r\nabc"), 400, ""},
+		{"signed length", post("Content-Length: +3\r\n\r\nabc"), 400, ""},
+		{"length and chunked", post("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), 400, ""},
+		{"chunked twice", post("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), 501, ""},
+		{"coding list", post("Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"), 501, ""},
+		{"chunked in 1.0", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, ""},
+		{"bare LF", "GET / HTTP/1.1\nHost: a\n\n", 400, ""},
+		{"bare LF after fields", "GET / HTTP/1.1\r\n" + host + "\n", 400, ""},
+		{"CR in value", "GET / HTTP/1.1\r\n" + host + "A: b\rC: d\r\n\r\n", 400, ""},
+		{"obs-fold", "GET / HTTP/1.1\r\n" + host + "A: b\r\n c\r\n\r\n", 400, ""},
+		{"space before colon", "GET / HTTP/1.1\r\n" + host + "Content-Length : 3\r\n\r\n", 400, ""},
+		{"no name", "GET / HTTP/1.1\r\n" + host + ": x\r\n\r\n", 400, ""},
+		{"NUL", "GET / HTTP/1.1\r\n" + host + "A: \x00\r\n\r\n", 400, ""},
+		{"no host", "GET / HTTP/1.1\r\n\r\n", 400, ""},
+		{"two hosts", "GET / HTTP/1.1\r\n" + host + host + "\r\n", 400, ""},
+		{"two spaces", "GET  / HTTP/1.1\r\n" + host + "\r\n", 400, ""},
+		{"version 2", "PRI * HTTP/2.0\r\n" + host + "\r\n", 505, ""},
+		{"odd version", "GET / HTTP/1.x\r\n" + host + "\r\n", 400, ""},
+		{"expectation", post("Expect: tea\r\n\r\n"), 417, ""},
+		{"chunk size not hex", post("Transfer-Encoding: chunked\r\n\r\nxyz\r\n"), 400, ""},
+		{"chunk size signed", post("Transfer-Encoding: chunked\r\n\r\n-1\r\n"), 400, ""},
+		{"chunk size 0x", post("Transfer-Encoding: chunked\r\n\r\n0x1\r\na\r\n"), 400, ""},
+		{"chunk size overflow", post("Transfer-Encoding: chunked\r\n\r\nffffffffffffffff1\r\n"), 400, ""},
+		{"space after chunk size", post("Transfer-Encoding: chunked\r\n\r\n1 \r\na\r\n"), 400, ""},
+		{"chunk longer than told", post("Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n"), 400, ""},
+		{"chunk bare LF", post("Transfer-Encoding: chunked\r\n\r\n1\na\r\n"), 400, ""},
+		{"long line", "GET /" + strings.Repeat("x", 300), 414, ""},
+		{"long line whole", "GET /" + strings.Repeat("x", 300) + " HTTP/1.1\r\n" + host + "\r\n", 414, ""},
+		{"large fields", "GET / HTTP/1.1\r\n" + host + "A: " + strings.Repeat("x", 700), 431, ""},
+		{"many fields", "GET / HTTP/1.1\r\n" + host + strings.Repeat("A: b\r\n", 9) + "\r\n", 431, ""},
+		{"large trailer", post("Transfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("A: bbbbbbbbbb\r\n", 60)), 431, ""},
+		{"long content", post("Content-Length: 1001\r\n\r\n"), 413, ""},
+		{"long chunks", post("Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("64\r\n"+strings.Repeat("x", 100)+"\r\n", 11)), 413, ""},
+	} {
+		for _, piece := range []int{1, 2, 7, 1 << 20} {
+			got, err := read(NewRequests(&limits), []byte(c.in), piece)
+			bodies := ""
+			for _, m := range got {
+				bodies += m.body + "|"
+			}
+			if err == nil && c.status != 0 || err != nil && err.Status != c.status || c.status == 0 && bodies != c.bodies {
+				t.Errorf("%s in pieces of %d: error %v, bodies %q; want %d, %q", c.name, piece, err, bodies, c.status, c.bodies)
+			}
+		}
+	}
+}
+
+func TestResponses(t *testing.T) {
+	in := "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi" +
+		"HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\nHTTP/1.0 503 Busy\r\n\r\ntill the end"
+	want := []message{{"  200", "hi", false, true}, {"  204", "", false, true}, {"  200", "a", true, true}, {"  503", "till the end", false, false}}
+	for _, piece := range []int{1, 3, 1 << 20} {
+		got, err := read(NewResponses(&limits), []byte(in), piece)
+		if err != nil || fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Errorf("in pieces of %d: %v, %v; want %v", piece, got, err, want)
+		}
+	}
+	for _, in := range []string{"HTTP/1.1 20 OK\r\n\r\n", "HTTP/2 200 OK\r\n\r\n", "HTTP/1.1 101 Go\r\n\r\n", "\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"} {
+		if got, err := read(NewResponses(&limits), []byte(in), 5); err == nil {
+			t.Errorf("%q read as %v", in, got)
+		}
+	}
+}
+
+// FuzzRequests takes net/http as the oracle: what both accept, both must read alike,
+// and the size of the pieces must not matter.
+func FuzzRequests(f *testing.F) {
+	f.Add([]byte("POST /p?q HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\nHost: a\r\n\r\n"), 3)
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3;x\r\nabc\r\n0\r\nA: b\r\n\r\n"), 1)
+	f.Add([]byte("GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"), 2)
+	f.Fuzz(func(t *testing.T, in []byte, piece int) {
+		piece = max(piece&0xff, 1)
+		got, err := read(NewRequests(&limits), in, len(in)+1)
+		cut, cutErr := read(NewRequests(&limits), in, piece)
+		if fmt.Sprint(got) != fmt.Sprint(cut) || (err == nil) != (cutErr == nil) {
+			t.Fatalf("whole: %v %v\nin pieces of %d: %v %v", got, err, piece, cut, cutErr)
+		}
+		r := bufio.NewReader(bytes.NewReader(in))
+		for i, m := range got {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(req.Body)
+			if err != nil {
+				return
+			}
+			line := req.Method + " " + req.RequestURI + " 0"
+			if line != m.line || string(body) != m.body {
+				t.Fatalf("message %d: net/http reads %q %q, we %q %q", i, line, body, m.line, m.body)
+			}
+		}
+	})
+}
+
+func BenchmarkRequest(b *testing.B) {
+	in := []byte("POST /v1/embeddings HTTP/1.1\r\nHost: 127.0.0.1:8080\r\nUser-Agent: x/1.0\r\nAccept: application/json\r\n" +
+		"Content-Type: application/json\r\nAuthorization: Bearer abc\r\nContent-Length: 40\r\n\r\n" + strings.Repeat("x", 40))
+	p := NewRequests(&limits)
+	b.SetBytes(int64(len(in)))
+	b.ReportAllocs()
+	for b.Loop() {
+		for rest := in; ; {
+			used, kind, _, err := p.Next(rest)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if rest = rest[used:]; kind == End {
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/loop/loop_test.go
@@ -0,0 +1,269 @@
+package loop
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"martenlock/internal/wheel"
+)
+
+var local = netip.MustParseAddrPort("127.0.0.1:0")
+
+// start runs a loop for the test and returns a function that runs one on it and waits.
+func start(t *testing.T, opts Options) (*Loop, func(func())) {
+	t.Helper()
+	l, err := New(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run() }()
+	t.Cleanup(func() {
+		l.Post(l.Shut)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return l, func(fn func()) {
+		done := make(chan struct{})
+		l.Post(func() { fn(); close(done) })
+		<-done
+	}
+}
+
+// echo writes back what comes, and stops reading while its peer does not take it.
+type echo struct {
+	most   int
+	events chan string
+}
+
+func (e *echo) Opened(*Conn) {}
+func (e *echo) Data(c *Conn, b []byte) int {
+	c.Write(b)
+	e.most = max(e.most, c.Unsent())
+	if c.Full() {
+		c.Pause()
+	}
+	return len(b)
+}
+func (e *echo) EOF(c *Conn) {
+	e.events <- "eof"
+	c.Close()
+}
+func (e *echo) Drained(c *Conn)           { c.Resume() }
+func (e *echo) Closed(_ *Conn, err error) { e.events <- "closed" }
+
+func listen(t *testing.T, l *Loop, do func(func()), accept func(*Conn) Handler) *Listener {
+	t.Helper()
+	var ln *Listener
+	var err error
+	do(func() { ln, err = l.Listen(local, accept) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+func dial(t *testing.T, ln *Listener) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c.(*net.TCPConn)
+}
+
+// TestEchoSlowReader sends 8 MB to a peer that starts to read only when all has been
+// taken in: what is held here stays bounded, and every byte comes back in order.
+func TestEchoSlowReader(t *testing.T) {
+	l, do := start(t, Options{HighMark: 64 << 10})
+	e := &echo{events: make(chan string, 4)}
+	c := dial(t, listen(t, l, do, func(*Conn) Handler { return e }))
+	sent := make([]byte, 8<<20)
+	for i := range sent {
+		sent[i] = byte(i * 7 >> 8)
+	}
+	go func() {
+		_, _ = c.Write(sent)
+		_ = c.CloseWrite()
+	}()
+	time.Sleep(50 * time.Millisecond) // let it jam; right or wrong, the verdict does not hang on it
+	got, err := io.ReadAll(c)
+	if err != nil || !bytes.Equal(got, sent) {
+		t.Fatalf("got %d bytes of %d, %v", len(got), len(sent), err)
+	}
+	if ev := <-e.events; ev != "eof" {
+		t.Errorf("told %q, want eof", ev)
+	}
+	do(func() {
+		if e.most > 64<<10+scratchSize {
+			t.Errorf("held %d bytes, more than the high mark and one read", e.most)
+		}
+	})
+}
+
+// mute reads nothing and tells what happens.
+type mute struct {
+	echo
+	opened func(*Conn)
+}
+
+func (m *mute) Opened(c *Conn) {
+	if m.opened != nil {
+		m.opened(c)
+	}
+}
+func (m *mute) Data(*Conn, []byte) int { panic("data on a paused connection") }
+func (m *mute) Closed(_ *Conn, err error) {
+	switch {
+	case errors.Is(err, ErrOverflow):
+		m.events <- "overflow"
+	case errors.Is(err, unix.ECONNREFUSED):
+		m.events <- "refused"
+	default:
+		m.events <- "closed"
+	}
+}
+
+// TestLeavingIsNoticed: a peer that closes or resets shows at once though reading is
+// paused and bytes of it lie unread; one that takes nothing while its source does not
+// heed Full is ended.
+func TestLeavingIsNoticed(t *testing.T) {
+	l, do := start(t, Options{MaxOutput: 1 << 20})
+	m := &mute{echo: echo{events: make(chan string, 4)}}
+	var last *Conn
+	ln := listen(t, l, do, func(c *Conn) Handler {
+		c.Pause()
+		last = c
+		return m
+	})
+	for _, want := range []string{"eof", "closed", "overflow"} {
+		c := dial(t, ln)
+		_, _ = c.Write([]byte("unread"))
+		switch want {
+		case "eof":
+			_ = c.Close()
+		case "closed":
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		case "overflow":
+			for done := false; !done; { // until the connection has been accepted
+				do(func() {
+					if done = last != nil && !last.closed; done {
+						last.Write(make([]byte, 32<<20))
+					}
+				})
+			}
+		}
+		if ev := <-m.events; ev != want {
+			t.Errorf("told %q, want %q", ev, want)
+		}
+		do(func() { last = nil })
+	}
+	do(func() {
+		free, _ := l.Listen(local, func(*Conn) Handler { return nil })
+		free.Close()
+		_, err := l.Dial(free.Addr(), m)
+		if err != nil {
+			t.Error(err)
+		}
+	})
+	if ev := <-m.events; ev != "refused" {
+		t.Errorf("a dial to nobody told %q", ev)
+	}
+}
+
+// TestFilesUsedUp takes all descriptors, so that accept fails with EMFILE, and gives
+// them back: the client that waited in the backlog is served, and the loop did not
+// spin meanwhile.
+func TestFilesUsedUp(t *testing.T) {
+	l, do := start(t, Options{})
+	ln := listen(t, l, do, func(*Conn) Handler { return &echo{events: make(chan string, 4)} })
+	var was unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
+		t.Fatal(err)
+	}
+	low := unix.Rlimit{Cur: 200, Max: was.Max}
+	if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &low); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = unix.Setrlimit(unix.RLIMIT_NOFILE, &was) }()
+	var taken []*os.File
+	for {
+		f, err := os.Open(os.DevNull)
+		if err != nil {
+			break
+		}
+		taken = append(taken, f)
+	}
+	taken[0].Close()
+	c, err := net.Dial("tcp", ln.Addr().String()) // takes the last one
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for paused := false; !paused; {
+		do(func() { paused = len(l.paused) == 1 })
+	}
+	for _, f := range taken[1:] {
+		f.Close()
+	}
+	if _, err := c.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestMaxHoldsBack: above Listener.Max connections wait in the backlog for one to end.
+func TestMaxHoldsBack(t *testing.T) {
+	l, do := start(t, Options{})
+	e := &echo{events: make(chan string, 8)}
+	ln := listen(t, l, do, func(*Conn) Handler { return e })
+	do(func() { ln.Max = 1 })
+	first, second := dial(t, ln), dial(t, ln)
+	b := make([]byte, 1)
+	for _, c := range []net.Conn{first, second} {
+		_, _ = c.Write([]byte("x"))
+	}
+	if _, err := io.ReadFull(first, b); err != nil {
+		t.Fatal(err)
+	}
+	do(func() {
+		if ln.Open() != 1 {
+			t.Errorf("%d open, want 1", ln.Open())
+		}
+	})
+	_ = first.Close()
+	if _, err := io.ReadFull(second, b); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestTimersAndPosts(t *testing.T) {
+	l, do := start(t, Options{})
+	fired := make(chan time.Duration, 2)
+	var a, b wheel.Timer
+	var began time.Duration
+	do(func() {
+		began = l.Now()
+		a.Fire = func() { fired <- l.Now() }
+		b.Fire = func() { t.Error("a stopped timer fired") }
+		l.Start(&b, 10*time.Millisecond)
+		l.Start(&a, 20*time.Millisecond)
+		l.Stop(&b)
+	})
+	if at := <-fired; at-began < 20*time.Millisecond {
+		t.Errorf("fired after %v", at-began)
+	}
+}
