--- a/control/control.go
+++ b/control/control.go
@@ -196,7 +196,9 @@
 	class, s := &r.set.Classes[ev.Class], r.sessions[ev.Session]
 	if s == nil {
 		s = &session{}
-		r.sessions[ev.Session] = s
+		if ev.Session != 0 { // a request of no session leaves nothing to remember
+			r.sessions[ev.Session] = s
+		}
 	}
 	s.seen = r.now
 	r.seq++
@@ -354,6 +356,9 @@
 // of it and some others taken as seen. All routers come to much the same.
 func (r *Router) pickReader(q *request) *server {
 	medians := [3]float64{Reader: r.medianLoad(Reader), Mixed: mixedPart * r.medianLoad(Writer)}
+	if !slices.ContainsFunc(r.ready, func(s *server) bool { return s.role == Writer }) {
+		medians[Mixed] = r.medianLoad(Mixed) // a pool that only does requests whole
+	}
 	fits := func(s *server) bool {
 		return r.usable(s, q) && (s.load()*s.Weight < fewReads || s.load() <= overMedian*medians[s.role]) &&
 			(s.role == Reader || s.tokens/max(r.need, 1) < r.part(s.capacity))
@@ -361,7 +366,7 @@
 	if last := q.session.last; last != nil && fits(last) {
 		return last
 	}
-	key := cmp.Or(q.Prefix, q.Session)
+	key := cmp.Or(q.Prefix, q.Session, uint64(q.ID))
 	var homes []*server
 	for _, s := range r.ready {
 		if s.role != Writer && r.usable(s, q) {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -574,3 +574,37 @@
 		}
 	}
 }
+
+// TestPoolOfMixedServersAlone: requests of no session, as embeddings are, spread over the
+// pool though only one is out at a time, and leave no row; a jam on one key is bounded
+// though there are no writers to show what is usual.
+func TestPoolOfMixedServersAlone(t *testing.T) {
+	s := start(t, settings(Mixed), 0, 0, 0, 0)
+	count := map[ServerID]int{}
+	for id := range RequestID(80) {
+		q := s.request(id+1, 0)
+		q.Session, q.Prefix = 0, 0
+		send := s.sent(s.do(time.Millisecond, q))
+		count[send.Server]++
+		s.do(time.Millisecond, Outcome{ID: id + 1, Server: send.Server, Result: OK, Took: time.Millisecond, Final: true})
+	}
+	for server, n := range count {
+		if n > 40 {
+			t.Errorf("server %d has %d of 80", server, n)
+		}
+	}
+	if len(count) != 4 || len(s.r.sessions) != 0 {
+		t.Errorf("%d servers used, %d rows kept", len(count), len(s.r.sessions))
+	}
+	clear(count)
+	for id := range RequestID(60) {
+		q := s.request(id+100, 0)
+		q.Session, q.Prefix = uint64(id%2*7), 0
+		count[s.sent(s.do(time.Millisecond, q)).Server]++
+	}
+	for server, n := range count {
+		if n > 30 {
+			t.Errorf("server %d holds %d of 60 at once", server, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/pool.go
@@ -0,0 +1,146 @@
+package router
+
+import (
+	"martenlock/control"
+	"martenlock/internal/config"
+	"martenlock/internal/nodes"
+	"martenlock/internal/wheel"
+)
+
+// pool is one instance of the decision module with its requests.
+type pool struct {
+	r       *Router
+	set     *config.Pool
+	cfg     *config.Config // in force when it was made
+	ctl     *control.Router
+	events  []control.Event
+	spare   []control.Event
+	pending bool
+	retired bool
+	closed  bool
+	ready   int // servers listed as ready
+	live    map[control.RequestID]*exchange
+	ended   []*exchange
+	lastID  control.RequestID
+}
+
+func newPool(r *Router, set *config.Pool, salt uint64) *pool {
+	s := r.cfg.Control
+	s.Fields = set.Fields
+	s.Zone = number(r.zones, r.cfg.Zone)
+	s.Seed = r.seed + salt*0x9e3779b97f4a7c15
+	p := &pool{r: r, set: set, cfg: r.cfg, live: map[control.RequestID]*exchange{}}
+	p.ctl = control.New(s, r.now())
+	return p
+}
+
+// push hands the module an event at the end of this turn, with all others of the turn.
+func (p *pool) push(ev control.Event) {
+	p.events = append(p.events, ev)
+	if !p.pending {
+		p.pending = true
+		p.r.loop.After(p.turn)
+	}
+}
+
+func (p *pool) turn() {
+	p.pending = false
+	events := p.events
+	p.events, p.spare = p.spare[:0], nil
+	for _, a := range p.ctl.Handle(p.r.now(), events) {
+		p.carryOut(a)
+	}
+	clear(events)
+	p.spare = events[:0]
+	for _, x := range p.ended {
+		if x.at == nil {
+			delete(p.live, x.id)
+		}
+	}
+	clear(p.ended)
+	p.ended = p.ended[:0]
+	p.done()
+}
+
+// done lets a retired pool go when it owes nothing any more.
+func (p *pool) done() {
+	if !p.retired || p.closed || len(p.live) > 0 || len(p.events) > 0 {
+		return
+	}
+	p.closed = true
+	for i, o := range p.r.retired {
+		if o == p {
+			p.r.retired = append(p.r.retired[:i], p.r.retired[i+1:]...)
+			return
+		}
+	}
+}
+
+func (p *pool) carryOut(a control.Action) {
+	switch a := a.(type) {
+	case control.Send:
+		if x := p.live[a.ID]; x != nil {
+			x.send(a)
+		}
+	case control.Refuse:
+		if x := p.live[a.ID]; x != nil {
+			x.refuse(a.RetryAfter)
+		}
+	case control.Fail:
+		if x := p.live[a.ID]; x != nil {
+			x.fail()
+		}
+	case control.Release:
+		if x := p.live[a.ID]; x != nil {
+			x.release()
+		}
+	case control.Cancel:
+		if x := p.live[a.ID]; x != nil && x.at != nil && x.at.number == a.Attempt && !x.at.started {
+			x.at.finish(control.Cancelled, 0, false)
+		}
+	case control.SetTimer:
+		t := &wheel.Timer{}
+		t.Fire = func() {
+			if !p.closed {
+				p.push(control.Timer{Token: a.Token})
+			}
+		}
+		p.r.loop.Start(t, a.After)
+	case control.Probe:
+		if e := p.r.engines[a.Server]; e != nil {
+			e.probe(p)
+		} else {
+			p.push(control.ProbeResult{Server: a.Server, Result: control.Moot})
+		}
+	case control.Log:
+		p.r.log.Info().Str("pool", p.set.Name).Msg(a.Text)
+	}
+}
+
+// fleet tells the module of its servers.
+func (p *pool) fleet(list []nodes.Node) {
+	ev := control.Fleet{Full: true}
+	p.ready = 0
+	for i := range list {
+		n := &list[i]
+		if n.Pool != p.set.Name || n.Kind >= len(p.cfg.Kinds) {
+			continue
+		}
+		if n.State == control.Ready {
+			p.ready++
+		}
+		ev.Servers = append(ev.Servers, control.Server{ID: n.ID, State: n.State, Kind: n.Kind, Weight: n.Weight, Since: p.r.at(n.Start),
+			Zone: number(p.r.zones, n.Zone), Cell: number(p.r.cells, n.Zone+"/"+n.Cell)})
+	}
+	p.push(ev)
+}
+
+// id returns a request id that no live request has.
+func (p *pool) id() control.RequestID {
+	for {
+		p.lastID++
+		if p.live[p.lastID] == nil {
+			return p.lastID
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,251 @@
+// Package router is the running router: it turns the bytes of clients and engines into
+// events of the decision module, and the module's actions into bytes. It decides
+// nothing about where a request goes, when, how often, or what its answer is.
+//
+// All of it runs on one loop; only Run, SetNodes, Reload, Shutdown and Stats may be
+// called from elsewhere.
+package router
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"reflect"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"martenlock/control"
+	"martenlock/internal/config"
+	"martenlock/internal/loop"
+	"martenlock/internal/nodes"
+	"martenlock/internal/wheel"
+)
+
+// Router is one running router.
+type Router struct {
+	loop    *loop.Loop
+	cfg     *config.Config
+	log     zerolog.Logger
+	ln      *loop.Listener
+	pools   []*pool // of the settings in force
+	retired []*pool // of settings before, which still owe answers
+	engines map[control.ServerID]*engine
+	list    []nodes.Node
+	fronts  map[*front]struct{}
+	zones   map[string]uint16
+	cells   map[string]uint16
+
+	name     string // begins the ids under which engines know requests
+	seq      uint64
+	seed     uint64
+	active   int   // requests taken and not yet answered
+	bytes    int64 // of request bodies and of answers held back
+	stopping bool
+	watch    wheel.Timer // while stopping
+	cut      wheel.Timer
+	served   uint64
+	refused  uint64
+	failed   uint64
+	left     uint64
+	started  time.Time
+	small    [16]byte // for chunk sizes
+}
+
+// clockStart is what the module's clock shows when the loop starts: late enough that
+// an engine which started before us has a start above zero.
+const clockStart = control.Time(24 * 3600 * 1e6)
+
+// New opens the listener of a router. list is the first list of nodes.
+func New(cfg *config.Config, list []nodes.Node, log zerolog.Logger) (*Router, error) {
+	l, err := loop.New(loop.Options{})
+	if err != nil {
+		return nil, err
+	}
+	var random [16]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return nil, err
+	}
+	r := &Router{loop: l, cfg: cfg, log: log, engines: map[control.ServerID]*engine{}, fronts: map[*front]struct{}{},
+		zones: map[string]uint16{}, cells: map[string]uint16{}, seed: cfg.Seed, started: time.Now(),
+		// Ids of two routers, or of one before and after a restart, must not meet at an engine.
+		name: "ml-" + strconv.FormatUint(binary.LittleEndian.Uint64(random[:8]), 36) + "-"}
+	if r.seed == 0 {
+		r.seed = binary.LittleEndian.Uint64(random[8:])
+	}
+	r.buildPools()
+	if r.ln, err = l.Listen(cfg.Listen, r.accept); err != nil {
+		return nil, err
+	}
+	r.ln.Max = cfg.MaxConnections
+	r.setNodes(list)
+	return r, nil
+}
+
+// Addr is where the router listens.
+func (r *Router) Addr() string { return r.ln.Addr().String() }
+
+// Run serves until Shutdown has done its work.
+func (r *Router) Run() error { return r.loop.Run() }
+
+// SetNodes puts a new list, checked by nodes.Parse, in the place of the old one.
+func (r *Router) SetNodes(list []nodes.Node) { r.loop.Post(func() { r.setNodes(list) }) }
+
+// Reload puts new settings in force. Requests taken before go on under the old ones;
+// where what the module is told has changed, new requests get a module that knows
+// nothing yet. The listener's address stays.
+func (r *Router) Reload(cfg *config.Config) error {
+	if cfg.Listen != r.cfg.Listen && r.cfg.Listen.Port() != 0 {
+		return fmt.Errorf("%s: [router] listen: a change from %s to %s needs a restart", cfg.File, r.cfg.Listen, cfg.Listen)
+	}
+	done := make(chan struct{})
+	r.loop.Post(func() {
+		defer close(done)
+		old := r.cfg
+		r.cfg = cfg
+		r.ln.Max = cfg.MaxConnections
+		told := func(c *config.Config) []any {
+			return []any{c.Control, c.Kinds, c.Classes, c.Tenants, c.Pools, c.Zone, c.Seed}
+		}
+		if !reflect.DeepEqual(told(old), told(cfg)) {
+			for _, p := range r.pools {
+				p.retired = true
+				r.retired = append(r.retired, p)
+				p.done()
+			}
+			r.buildPools()
+			r.setNodes(r.list)
+		}
+	})
+	<-done
+	return nil
+}
+
+func (r *Router) buildPools() {
+	r.pools = nil
+	for i := range r.cfg.Pools {
+		r.pools = append(r.pools, newPool(r, &r.cfg.Pools[i], uint64(i)))
+	}
+}
+
+func (r *Router) setNodes(list []nodes.Node) {
+	r.list = list
+	listed := map[control.ServerID]bool{}
+	for i := range list {
+		n := &list[i]
+		listed[n.ID] = true
+		e := r.engines[n.ID]
+		if e == nil {
+			e = &engine{r: r, aborts: map[string]time.Duration{}}
+			r.engines[n.ID] = e
+		}
+		if e.node.Addr != n.Addr || !e.node.Start.Equal(n.Start) { // another process: old connections lead nowhere
+			e.dropIdle()
+		}
+		e.node, e.gone = *n, false
+	}
+	for id, e := range r.engines {
+		if !listed[id] {
+			e.gone = true
+			e.dropIdle()
+			e.forget()
+		}
+	}
+	for _, p := range append(append([]*pool(nil), r.pools...), r.retired...) {
+		p.fleet(list)
+	}
+	r.log.Info().Int("nodes", len(list)).Msg("node list taken")
+}
+
+// number gives a name a small number that it keeps.
+func number(table map[string]uint16, name string) uint16 {
+	n, ok := table[name]
+	if !ok {
+		n = uint16(len(table)) // 65,536 zones or cells would share numbers: a worse choice of writer, no more
+		table[name] = n
+	}
+	return n
+}
+
+// now is the module's clock.
+func (r *Router) now() control.Time { return clockStart.Add(r.loop.Now()) }
+
+// at is a point of the wall clock on the module's; 0 for long ago.
+func (r *Router) at(t time.Time) control.Time {
+	if t.IsZero() {
+		return 0
+	}
+	ago := time.Since(t)
+	if here := r.now().Add(-ago); ago < clockStart.Sub(0)+r.loop.Now() {
+		return max(here, 1)
+	}
+	return 0
+}
+
+// Shutdown stops accepting, lets every request that was taken have its answer, and ends
+// Run. Streams that still run after the settings' shutdown limit are cut.
+func (r *Router) Shutdown() {
+	r.loop.Post(func() {
+		if r.stopping {
+			return
+		}
+		r.stopping = true
+		r.ln.Close()
+		for f := range r.fronts {
+			f.stop()
+		}
+		r.watch.Fire = func() {
+			if r.ln.Open() == 0 {
+				r.loop.Shut()
+				return
+			}
+			r.loop.Start(&r.watch, 10*time.Millisecond)
+		}
+		r.watch.Fire()
+		r.cut.Fire = func() {
+			r.log.Warn().Int("requests", r.active).Msg("shutdown limit reached: cutting what still runs")
+			for f := range r.fronts {
+				if f.x != nil {
+					f.x.abandon()
+				} else {
+					f.c.Abort()
+					f.ended()
+				}
+			}
+		}
+		r.loop.Start(&r.cut, r.cfg.Limits.Shutdown)
+	})
+}
+
+// Stats is what a router has done and holds.
+type Stats struct {
+	Served, Refused, Failed, Left uint64
+	Active, Connections, Timers   int
+	Bytes                         int64
+	EngineConns                   int
+	Aborts                        int
+}
+
+// ErrStopped is Stats' error after Run has ended.
+var ErrStopped = errors.New("router: not running")
+
+// Stats returns it; it must not be called before Run.
+func (r *Router) Stats() (s Stats, err error) {
+	done := make(chan struct{})
+	r.loop.Post(func() {
+		s = Stats{r.served, r.refused, r.failed, r.left, r.active, r.ln.Open(), r.loop.Timers(), r.bytes, 0, 0}
+		for _, e := range r.engines {
+			s.EngineConns += e.conns
+			s.Aborts += len(e.aborts)
+		}
+		close(done)
+	})
+	select {
+	case <-done:
+		return s, nil
+	case <-time.After(10 * time.Second):
+		return s, ErrStopped
+	}
+}
