--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -26,6 +26,7 @@
 	aborts   map[string]time.Duration // ids of states to let go, until when it is tried
 	aborting bool
 	retry    wheel.Timer
+	pause    time.Duration // before the next try
 }
 
 // sink takes one response.
@@ -272,20 +273,22 @@
 }
 
 const (
-	abortRetry   = 50 * time.Millisecond
+	abortRetry   = 50 * time.Millisecond // after the first failure; then ever longer
+	abortSlow    = 500 * time.Millisecond
 	abortTimeout = 250 * time.Millisecond
-	mostAborts   = 10000 // of one engine
+	abortLimit   = time.Minute // then the engine's own limit has to do it
+	mostAborts   = 10000       // of one engine
 	abortsAtOnce = 500
 )
 
-// abort lets go of what an engine holds or runs under an id, and tries again until the
-// pin limit has passed: after that the engine's own limit has to do it.
+// abort lets go of what an engine holds or runs under an id. An engine that can't be
+// told, behind a cut link for one, is told as soon as it can be.
 func (e *engine) abort(id string) {
 	if len(e.aborts) >= mostAborts {
 		e.r.log.Warn().Str("node", e.node.Name).Msg("too many states to let go: one is left to its engine")
 		return
 	}
-	e.aborts[id] = e.r.loop.Now() + e.r.cfg.Control.PinLimit
+	e.aborts[id] = e.r.loop.Now() + abortLimit
 	e.flushAborts()
 }
 
@@ -362,6 +365,7 @@
 	}
 	s.e.aborting = false
 	if ok {
+		s.e.pause = 0
 		for _, id := range s.ids {
 			delete(s.e.aborts, id)
 		}
@@ -371,6 +375,7 @@
 		s.e.forget()
 		return
 	}
+	s.e.pause = min(max(2*s.e.pause, abortRetry), abortSlow)
 	s.e.retry.Fire = s.e.flushAborts
-	s.e.r.loop.Start(&s.e.retry, abortRetry)
+	s.e.r.loop.Start(&s.e.retry, s.e.pause)
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -156,7 +156,11 @@
 	e.fleet.do(func() {
 		was := e.fault.Hang
 		e.fault = fault
+		if !was && fault.Hang {
+			e.see(audit.Deaf, "", 0)
+		}
 		if was && !fault.Hang {
+			e.see(audit.Hears, "", 0)
 			for k := range e.conns {
 				k.c.Resume()
 			}
@@ -184,6 +188,9 @@
 // Revive starts its process anew at the same address, cold, with nothing wrong.
 func (e *Engine) Revive() (err error) {
 	e.fleet.do(func() {
+		if e.fault.Hang {
+			e.see(audit.Hears, "", 0)
+		}
 		if e.fault = (Fault{}); e.ln == nil {
 			err = e.start(true)
 		}
@@ -239,6 +246,7 @@
 	id     string // X-Request-Id, the router's
 	client string // X-Client-Request-Id, for the record
 	job    *job
+	deaf   string // a request that lies unread here while the engine hangs
 }
 
 func (k *conn) Opened(*loop.Conn) {}
@@ -247,6 +255,7 @@
 	total := 0
 	for k.job == nil {
 		if k.e.fault.Hang {
+			k.lie(b[total:])
 			c.Pause()
 			return total
 		}
@@ -274,6 +283,17 @@
 	return total
 }
 
+// lie records a request that has come to the socket of an engine that hangs: to its
+// router it is an attempt like any other.
+func (k *conn) lie(b []byte) {
+	p := http1.NewRequests(&limits)
+	if _, kind, _, err := p.Next(b); err == nil && kind == http1.HeadDone && string(p.Head.Method) == "POST" && k.deaf == "" {
+		if k.deaf = string(p.Head.Get("x-client-request-id")); k.deaf != "" {
+			k.e.see(audit.Begun, k.deaf, 0)
+		}
+	}
+}
+
 // done ends the request at hand and looks at the next one.
 func (k *conn) done() {
 	k.job = nil
@@ -300,7 +320,10 @@
 	if k.job != nil {
 		k.job.finish()
 		k.job = nil
+	} else if k.deaf != "" {
+		k.e.see(audit.Ended, k.deaf, 0)
 	}
+	k.deaf = ""
 }
 
 func (k *conn) answer(status int, kind string, body []byte, extra string) {
@@ -411,7 +434,10 @@
 		j.stage = control.Writer
 	}
 	k.job = j
-	j.see(audit.Begun)
+	if k.deaf == "" {
+		j.see(audit.Begun)
+	}
+	k.deaf = ""
 	if e.fault.ResetBefore {
 		k.drop()
 		k.c.Reset()
