--- a/control/control.go
+++ b/control/control.go
@@ -576,7 +576,8 @@
 	if ev.Result == Full && ev.Note == 1 { // gone, or out of this writer's reach: read it anew
 		q.holder = nil
 		r.do(Release{ID: q.ID})
-	} else if ev.Result != ReadDone {
+	}
+	if ev.Result != ReadDone {
 		q.shunned = append(q.shunned, s)
 	}
 	r.next(q)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -608,3 +608,21 @@
 		}
 	}
 }
+
+// TestWriterThatFoundNoStateIsPassedOver: it may be the only one that can't reach the
+// reader, or say so of every state.
+func TestWriterThatFoundNoStateIsPassedOver(t *testing.T) {
+	for id := range RequestID(10) {
+		s := start(t, settings(Reader, Writer), 0, 1, 1)
+		q := s.request(id+1, 0)
+		write := s.sent(s.read(s.sent(s.do(0, q)), 0))
+		read := s.sent(s.do(ms, Outcome{ID: q.ID, Attempt: 1, Server: write.Server, Result: Full, Note: 1}))
+		if read.Server != 1 {
+			t.Fatalf("not read anew but sent to %d", read.Server)
+		}
+		again := s.sent(s.do(ms, Outcome{ID: q.ID, Attempt: 2, Server: 1, Result: ReadDone, Took: ms}))
+		if again.Server == write.Server {
+			t.Fatalf("sent to writer %d again", write.Server)
+		}
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -226,6 +226,7 @@
 	Bytes                         int64
 	EngineConns                   int
 	Aborts                        int
+	Unsent                        int // bytes of the answer that its client has not taken, the most of any
 }
 
 // ErrStopped is Stats' error after Run has ended.
@@ -235,7 +236,10 @@
 func (r *Router) Stats() (s Stats, err error) {
 	done := make(chan struct{})
 	r.loop.Post(func() {
-		s = Stats{r.served, r.refused, r.failed, r.left, r.active, r.ln.Open(), r.loop.Timers(), r.bytes, 0, 0}
+		s = Stats{r.served, r.refused, r.failed, r.left, r.active, r.ln.Open(), r.loop.Timers(), r.bytes, 0, 0, 0}
+		for f := range r.fronts {
+			s.Unsent = max(s.Unsent, f.c.Unsent())
+		}
 		for _, e := range r.engines {
 			s.EngineConns += e.conns
 			s.Aborts += len(e.aborts)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -226,6 +226,7 @@
 }
 
 const (
+	burst         = 64 // tokens at once where an engine has no pace
 	bytesPerToken = 4
 	stateBytes    = 64 // of a state, for each token
 	mostState     = 256 << 10
@@ -692,6 +693,10 @@
 		j.event(j.delta(tokens[j.sent%len(tokens)]+" ", "null"))
 	}
 	if j.sent++; j.sent < j.want {
+		if e.Spec.Pace == 0 && j.sent%burst != 0 && !j.k.c.Full() {
+			j.token()
+			return
+		}
 		if j.k.c.Full() {
 			j.jammed = true
 			return
