--- /dev/null
+++ b/internal/clients/node/check.mjs
@@ -0,0 +1,49 @@
+// Uses the unmodified openai package against a router whose URL is the first argument.
+import assert from "node:assert/strict";
+import OpenAI from "openai";
+
+const client = new OpenAI({ baseURL: process.argv[2] + "/v1", apiKey: "none", maxRetries: 2 });
+const messages = [
+  { role: "system", content: "You are a plumber." },
+  { role: "user", content: "My pipe is frozen." },
+];
+
+const whole = await client.chat.completions.create({ model: "demo-chat", messages, max_tokens: 4 });
+assert.equal(whole.choices[0].message.content, "snow on the roof ");
+assert.equal(whole.usage.completion_tokens, 4);
+assert.match(whole._request_id, /^ml-/);
+
+let text = "", usage = null;
+const stream = await client.chat.completions.create({
+  model: "demo-chat", messages, max_tokens: 4, stream: true, stream_options: { include_usage: true },
+});
+for await (const chunk of stream) {
+  text += chunk.choices[0]?.delta?.content ?? "";
+  usage = chunk.usage ?? usage;
+}
+assert.equal(text, "snow on the roof ");
+assert.equal(usage.completion_tokens, 4);
+
+const old = await client.completions.create({ model: "demo-chat", prompt: "frozen", max_tokens: 2 });
+assert.equal(old.choices[0].text, "snow on ");
+
+// Without encoding_format the package asks for base64 and decodes it.
+const input = ["frozen pipe", "warm boiler"];
+const base = await client.embeddings.create({ model: "demo-embed", input, dimensions: 6 });
+const float = await client.embeddings.create({ model: "demo-embed", input, dimensions: 6, encoding_format: "float" });
+assert.equal(base.data.length, 2);
+base.data.forEach((d, i) => d.embedding.forEach((v, k) => assert.ok(Math.abs(v - float.data[i].embedding[k]) < 1e-6)));
+await client.embeddings.create({ model: "demo-embed", input: [[1, 2], [3]] });
+
+const models = [];
+for await (const m of client.models.list()) models.push(m.id);
+assert.deepEqual(models, ["demo-chat", "demo-embed", "demo-rerank"]);
+
+await assert.rejects(client.chat.completions.create({ model: "nobody", messages }), OpenAI.NotFoundError);
+await assert.rejects(client.chat.completions.create({ model: "demo-chat", messages: [] }), OpenAI.BadRequestError);
+
+const gone = new AbortController();
+const long = await client.chat.completions.create({ model: "demo-chat", messages, stream: true }, { signal: gone.signal });
+for await (const _ of long) gone.abort();
+
+console.log("good");
--- a/internal/demo/badday.go
+++ b/internal/demo/badday.go
@@ -225,6 +225,11 @@
 
 // Play plays the day against a fresh world.
 func (day *Script) Play(listen, logLevel string, log, out io.Writer) (*audit.Report, error) {
+	return day.PlayBy(Rules, listen, logLevel, log, out)
+}
+
+// PlayBy is Play judged by other limits.
+func (day *Script) PlayBy(rules audit.Rules, listen, logLevel string, log, out io.Writer) (*audit.Report, error) {
 	rec := audit.NewRecording(4 << 20)
 	w, err := Start(Options{Listen: listen, Seed: uint64(day.Seed) + 1, LogLevel: logLevel, Log: log, Rec: rec})
 	if err != nil {
@@ -250,7 +255,7 @@
 	p.wait.Wait()
 	time.Sleep(settleAfter) // what is pinned now is pinned for good
 	p.client.CloseIdleConnections()
-	report := audit.Judge(rec, Rules, w.Clock())
+	report := audit.Judge(rec, rules, w.Clock())
 	fmt.Fprintf(out, "first token or whole answer: p50 %.1f ms, p99 %.1f ms; the load was at most %.1f ms behind its schedule\n",
 		float64(p.times.ValueAtQuantile(50))/1000, float64(p.times.ValueAtQuantile(99))/1000, late.Seconds()*1000)
 	if p.err != nil {
--- /dev/null
+++ b/internal/demo/badday_test.go
@@ -0,0 +1,135 @@
+package demo
+
+import (
+	"io"
+	"strings"
+	"testing"
+)
+
+// short is a bad day that CI can play: every kind of fault, some overlapping.
+const short = `
+[day]
+seconds = 7
+rate = 60
+seed = 3
+[load ask]
+share = 0.4
+api = chat
+class = ask
+stream = 0.7
+prompt = 50-600
+deadline = 5s
+leave = 0.05
+slow = 0.05
+[load job]
+share = 0.15
+api = chat
+class = job
+effect = keyed
+window = 3s
+stream = 0.5
+prompt = 50-600
+deadline = 6s
+[load note]
+share = 0.2
+api = completions
+class = note
+effect = unsafe
+stream = 0.5
+prompt = 50-600
+deadline = 6s
+[load search]
+share = 0.15
+api = embeddings
+class = search
+deadline = 3s
+[load rank]
+share = 0.1
+api = rerank
+class = search
+deadline = 3s
+[fault errors]
+at = 200ms
+for = 1s
+what = errors
+value = 0.7
+engines = writer1, embed1
+[fault break off]
+at = 500ms
+for = 1s
+what = reset_after
+value = -1
+engines = writer2
+[fault break off later]
+at = 700ms
+for = 1s
+what = reset_after
+value = 3
+engines = writer3
+[fault drains]
+at = 1500ms
+what = replace
+engines = writer1, reader1, embed1
+[fault cut]
+at = 2500ms
+for = 1500ms
+what = hang
+engines = zone:b
+[fault burst]
+at = 4s
+for = 500ms
+what = burst
+value = 2
+[fault gone]
+at = 4s
+for = 1s
+what = gone
+engines = writer5
+[fault dies]
+at = 4500ms
+for = 1s
+what = die
+engines = reader3, pool:rerank
+[fault stalls]
+at = 5s
+for = 500ms
+what = stall
+value = 3
+engines = writer4
+`
+
+func TestShortBadDay(t *testing.T) {
+	day, err := ParseScript("short.ini", []byte(short))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rules := Rules
+	rules.Skew *= 4 // a loaded machine; the limits themselves stay
+	report, err := day.PlayBy(rules, "127.0.0.1:0", "error", io.Discard, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !report.Kept() || report.Results[0] < report.Verdicts[0].Checked/2 {
+		t.Errorf("\n%s", report)
+	}
+	for _, v := range report.Verdicts {
+		if v.Checked == 0 {
+			t.Errorf("%s was put to nothing", v.Rule)
+		}
+	}
+	t.Logf("\n%s", report)
+}
+
+func TestScriptsNameTheFault(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{"what = hang", "what = melt", `s.ini: [fault cut] what: "melt" is none of burst, die, errors`},
+		{"engines = zone:b", "", "[fault cut] engines: is missing"},
+		{"prompt = 50-600", "prompt = 600-50", "[load ask] prompt: must be a range"},
+		{"api = rerank", "api = rank", `[load rank] api: "rank" is none of chat`},
+		{"[day]", "[night]", "s.ini: [night]: unknown section"},
+	} {
+		if _, err := ParseScript("s.ini", []byte(strings.Replace(short, c.old, c.new, 1))); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: %v; want %s", c.new, err, c.want)
+		}
+	}
+}
