--- a/cmd/martenlock/main.go
+++ b/cmd/martenlock/main.go
@@ -8,9 +8,11 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
+	"martenlock/internal/bench"
 	"martenlock/internal/demo"
 	"martenlock/internal/service"
 )
@@ -18,7 +20,7 @@
 func main() {
 	root := &cobra.Command{Use: "martenlock", Short: "A router for language models with separate readers and writers",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(serveCommand(), checkCommand(), demoCommand())
+	root.AddCommand(serveCommand(), checkCommand(), demoCommand(), benchCommand(), benchProcess())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "martenlock:", err)
 		os.Exit(1)
@@ -92,3 +94,17 @@
 	cmd.Flags().StringVar(&logLevel, "log-level", "warn", "debug, info, warn or error")
 	return cmd
 }
+
+func benchCommand() *cobra.Command {
+	var span time.Duration
+	cmd := &cobra.Command{Use: "bench", Short: "Measure the router beside net/http's ReverseProxy, one core each", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return bench.Run(span, cmd.OutOrStdout()) }}
+	cmd.Flags().DurationVar(&span, "span", 4*time.Second, "how long each measurement takes")
+	return cmd
+}
+
+// benchProcess is what bench starts.
+func benchProcess() *cobra.Command {
+	return &cobra.Command{Use: "bench-process KIND BACKEND", Hidden: true, Args: cobra.ExactArgs(2),
+		RunE: func(_ *cobra.Command, args []string) error { return bench.Child(args[0], args[1]) }}
+}
--- a/internal/demo/badday.go
+++ b/internal/demo/badday.go
@@ -68,6 +68,7 @@
 	"reset_after":  func(v float64) standin.Fault { return standin.Fault{ResetAfter: int(v)} },
 	"stall":        func(v float64) standin.Fault { return standin.Fault{StallAfter: int(v)} },
 	"slow":         func(v float64) standin.Fault { return standin.Fault{Slow: v} },
+	"lost":         func(float64) standin.Fault { return standin.Fault{Lost: true} },
 	"die":          nil,
 	"replace":      nil,
 	"burst":        nil,
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/netip"
 	"time"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 
@@ -275,7 +276,7 @@
 }
 
 func (c *Conn) read() {
-	n, err := unix.Read(c.fd, c.loop.scratch)
+	n, err := read(c.fd, c.loop.scratch)
 	switch {
 	case err == unix.EAGAIN || err == unix.EINTR:
 	case err != nil:
@@ -394,14 +395,15 @@
 		var n int
 		var err error
 		if len(c.out) == 1 {
-			n, err = unix.Write(c.fd, c.out[0].b)
+			n, err = write(c.fd, c.out[0].b)
 		} else {
-			var iov [vectors][]byte
-			m := min(len(c.out), vectors)
-			for i := range m {
-				iov[i] = c.out[i].b
+			iov := c.loop.iov[:min(len(c.out), vectors)]
+			for i := range iov {
+				iov[i].Base = unsafe.SliceData(c.out[i].b)
+				iov[i].SetLen(len(c.out[i].b))
 			}
-			n, err = unix.Writev(c.fd, iov[:m])
+			n, err = writev(c.fd, iov)
+			clear(iov)
 		}
 		if err == unix.EAGAIN {
 			return nil
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -49,6 +49,7 @@
 	wheel   wheel.Wheel
 	fds     map[int]source
 	scratch []byte
+	iov     [vectors]unix.Iovec
 	pool    pool
 	dirty   []*Conn // to be flushed, re-armed or handed leftovers at the end of the turn
 	closing []int   // descriptors closed at the end of the turn: no event may hit a reused one
@@ -136,7 +137,11 @@
 	defer l.closeAll()
 	events := make([]unix.EpollEvent, eventsPerTurn)
 	for !l.stopped {
-		n, err := unix.EpollWait(l.ep, events, l.sleep())
+		n := poll(l.ep, events)
+		var err error
+		if n == 0 {
+			n, err = unix.EpollWait(l.ep, events, l.sleep())
+		}
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return fmt.Errorf("loop: epoll_wait: %w", err)
 		}
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -25,7 +25,7 @@
 	ID     control.ServerID // from the name, so the same at every router and after restarts
 	Pool   string
 	Addr   netip.AddrPort
-	Kind   int // position in Config.Kinds
+	Kind   string
 	Role   control.Role
 	Zone   string
 	Cell   string
@@ -65,11 +65,10 @@
 			s.Fail("pool", "there is no [pool %s] in %s", n.Pool, c.File)
 		}
 		if kind := s.Need("kind"); kind != "" {
-			if n.Kind = slices.Index(c.Kinds, kind); n.Kind < 0 {
+			if i := slices.Index(c.Kinds, kind); i < 0 {
 				s.Fail("kind", "there is no [kind %s] in %s", kind, c.File)
-				n.Kind = 0
 			} else {
-				n.Role = c.Control.KindRole[n.Kind]
+				n.Kind, n.Role = kind, c.Control.KindRole[i]
 			}
 		}
 		if start := s.Text("start", ""); start != "" {
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"slices"
+
 	"martenlock/control"
 	"martenlock/internal/config"
 	"martenlock/internal/nodes"
@@ -123,13 +125,14 @@
 	p.ready = 0
 	for i := range list {
 		n := &list[i]
-		if n.Pool != p.set.Name || n.Kind >= len(p.cfg.Kinds) {
+		kind := slices.Index(p.cfg.Kinds, n.Kind) // settings in force before may number them otherwise
+		if n.Pool != p.set.Name || kind < 0 {
 			continue
 		}
 		if n.State == control.Ready {
 			p.ready++
 		}
-		ev.Servers = append(ev.Servers, control.Server{ID: n.ID, State: n.State, Kind: n.Kind, Weight: n.Weight, Since: p.r.at(n.Start),
+		ev.Servers = append(ev.Servers, control.Server{ID: n.ID, State: n.State, Kind: kind, Weight: n.Weight, Since: p.r.at(n.Start),
 			Zone: number(p.r.zones, n.Zone), Cell: number(p.r.cells, n.Zone+"/"+n.Cell)})
 	}
 	p.push(ev)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -33,7 +33,6 @@
 	pools   []*pool // of the settings in force
 	retired []*pool // of settings before, which still owe answers
 	engines map[control.ServerID]*engine
-	list    []nodes.Node
 	fronts  map[*front]struct{}
 	zones   map[string]uint16
 	cells   map[string]uint16
@@ -93,10 +92,10 @@
 // SetNodes puts a new list, checked by nodes.Parse, in the place of the old one.
 func (r *Router) SetNodes(list []nodes.Node) { r.loop.Post(func() { r.setNodes(list) }) }
 
-// Reload puts new settings in force. Requests taken before go on under the old ones;
+// Reload puts new settings in force, and a node list that was checked by them. Requests taken before go on under the old ones;
 // where what the module is told has changed, new requests get a module that knows
 // nothing yet. The listener's address stays.
-func (r *Router) Reload(cfg *config.Config) error {
+func (r *Router) Reload(cfg *config.Config, list []nodes.Node) error {
 	if cfg.Listen != r.cfg.Listen && r.cfg.Listen.Port() != 0 {
 		return fmt.Errorf("%s: [router] listen: a change from %s to %s needs a restart", cfg.File, r.cfg.Listen, cfg.Listen)
 	}
@@ -116,8 +115,8 @@
 				p.done()
 			}
 			r.buildPools()
-			r.setNodes(r.list)
 		}
+		r.setNodes(list)
 	})
 	<-done
 	return nil
@@ -131,7 +130,6 @@
 }
 
 func (r *Router) setNodes(list []nodes.Node) {
-	r.list = list
 	listed := map[control.ServerID]bool{}
 	for i := range list {
 		n := &list[i]
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -259,6 +259,8 @@
 		{"errors everywhere", map[string]standin.Fault{"w1": {Errors: 1}, "w2": {Errors: 1}}, "", []outcome{{"note", false, failed}, {"ask", false, refused}}},
 		{"one says the state is gone", map[string]standin.Fault{"w1": {Gone: true}}, "", []outcome{{"ask", true, served}, {"note", false, served}}},
 		{"all say the state is gone", map[string]standin.Fault{"w1": {Gone: true}, "w2": {Gone: true}}, "", []outcome{{"ask", true, refused}, {"note", true, refused}}},
+		{"answers of one reader are lost", map[string]standin.Fault{"r1": {Lost: true}}, "", []outcome{{"ask", true, served}, {"ask", true, served}, {"note", false, served}}},
+		{"answers of all writers are lost", map[string]standin.Fault{"w1": {Lost: true}, "w2": {Lost: true}}, "", []outcome{{"note", true, failed}, {"ask", false, refused}}},
 		{"writers full", map[string]standin.Fault{"w1": {Full: true}, "w2": {Full: true}}, "", []outcome{{"ask", true, refused}, {"note", true, refused}}},
 		{"the whole fleet gone, and nobody says so", nil, "zone:a", []outcome{{"ask", true, refused}, {"note", false, refused}}},
 	} {
@@ -568,6 +570,59 @@
 	}
 }
 
+// TestBounds: above held requests are refused at once; a whole answer longer than
+// hold_back is passed on as it comes; streams that outlast the shutdown limit are cut.
+func TestBounds(t *testing.T) {
+	list := two(1, 1)
+	list[1].Pace, list[1].Answer = 20*ms, 10_000
+	w := start(t, list, "[limits]\n", "[limits]\nheld = 1\nhold_back = 10\nshutdown = 300ms\n")
+	if r := w.ask(call{tokens: 3}); !r.served() || !strings.Contains(r.body, "snow on the") || r.header.Get("Content-Length") == "" {
+		t.Errorf("a long answer: %v", r)
+	}
+	done := make(chan reply)
+	go func() { done <- w.ask(call{stream: true, tokens: 10_000}) }()
+	w.until("streaming", func() bool { return w.engine("w1").Stats().Running == 1 })
+	if r := w.ask(call{}); r.status != 503 || !r.refused() {
+		t.Errorf("above held: %v", r)
+	}
+	w.Service.Router.Shutdown()
+	if r := <-done; !r.broken() {
+		t.Errorf("a stream past the shutdown limit: %v", r)
+	}
+}
+
+// TestSlowLog: a log that takes nothing holds up no request; lines are dropped and counted.
+func TestSlowLog(t *testing.T) {
+	gate := make(chan struct{})
+	w := &world{t: t, rec: audit.NewRecording(1 << 16), log: &logged{}}
+	var err error
+	if w.World, err = demo.Start(demo.Options{Specs: two(1, 1), Listen: "127.0.0.1:0", Seed: 1, LogLevel: "info", Log: gated{gate}, Rec: w.rec}); err != nil {
+		t.Fatal(err)
+	}
+	for range 30_000 { // a line each
+		w.Service.Router.SetNodes(nil)
+	}
+	if err := w.Publish(); err != nil {
+		t.Fatal(err)
+	}
+	w.until("served again", func() bool { return w.ask(call{deadline: time.Second}).served() })
+	if s, err := w.Service.Router.Stats(); err != nil || s.Served == 0 {
+		t.Error(s, err)
+	}
+	close(gate)
+	w.until("lines counted", func() bool { return w.Service.Dropped() > 0 })
+	if err := w.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+type gated struct{ gate chan struct{} }
+
+func (g gated) Write(b []byte) (int, error) {
+	<-g.gate
+	return len(b), nil
+}
+
 // TestStop: what was taken is answered, nothing new is taken, and the port is closed.
 func TestStop(t *testing.T) {
 	w := start(t, two(1, 1))
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -113,14 +113,13 @@
 		err = fmt.Errorf("%s: [router] nodes: a change from %s to %s needs a restart", s.path, old.Nodes, cfg.Nodes)
 	}
 	if err == nil {
-		err = s.Router.Reload(cfg)
+		err = s.Router.Reload(cfg, list)
 	}
 	if err != nil {
 		s.log.Error().Err(err).Msg("settings not taken; the old ones stay")
 		return err
 	}
 	s.cfg.Store(cfg)
-	s.Router.SetNodes(list)
 	s.log.Info().Msg("settings taken")
 	return nil
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -55,6 +55,7 @@
 	StallAfter  int     // sends nothing more after so many tokens; 0 for never
 	Slow        float64 // takes so many times longer; 0 and 1 for not
 	Late        time.Duration
+	Lost        bool // does the work, but its answers never arrive
 }
 
 // Fleet is engines that share a loop.
@@ -558,6 +559,9 @@
 		e.see(audit.Held, j.client, 0)
 		timer := &wheel.Timer{Fire: func() { e.free(id) }}
 		e.fleet.loop.Start(timer, orphanLimit)
+		if e.fault.Lost {
+			return
+		}
 		kv := fmt.Sprintf(`{"do_remote_prefill":true,"do_remote_decode":false,"remote_engine_id":%q,"remote_block_ids":[0,%d],"remote_host":%q,"remote_port":%d,"remote_request_id":%q}`,
 			e.Spec.Name, len(state)/stateBytes/16, e.Spec.Listen.Addr(), e.Spec.Listen.Port(), id)
 		j.reply(fmt.Appendf(nil, `{"id":%q,"object":"chat.completion","created":1,"model":%q,"choices":[{"index":0,"message":{"role":"assistant","content":"x"},"finish_reason":"length"}],`+
@@ -679,7 +683,7 @@
 		j.k.c.Reset()
 		return
 	}
-	if f.StallAfter > 0 && j.sent >= f.StallAfter {
+	if f.Lost || f.StallAfter > 0 && j.sent >= f.StallAfter {
 		return
 	}
 	if j.call.Stream {
