--- a/internal/demo/badday.go
+++ b/internal/demo/badday.go
@@ -259,12 +259,35 @@
 	report := audit.Judge(rec, rules, w.Clock())
 	fmt.Fprintf(out, "first token or whole answer: p50 %.1f ms, p99 %.1f ms; the load was at most %.1f ms behind its schedule\n",
 		float64(p.times.ValueAtQuantile(50))/1000, float64(p.times.ValueAtQuantile(99))/1000, late.Seconds()*1000)
+	p.timeline(begin.Sub(w.began), day.Span, out)
 	if p.err != nil {
 		return nil, p.err
 	}
 	return report, w.Close()
 }
 
+// timeline prints how requests ended, by when they were sent.
+func (p *player) timeline(from, span time.Duration, out io.Writer) {
+	const step = 2 * time.Second
+	rows := make([][4]int, int(span/step)+1)
+	sent := map[string]int{}
+	events, _ := p.rec.Events()
+	for _, e := range events {
+		switch e.Kind {
+		case audit.Sent:
+			sent[e.Request] = min(max(int((e.At-from)/step), 0), len(rows)-1)
+		case audit.Answer:
+			rows[sent[e.Request]][e.Result]++
+		}
+	}
+	fmt.Fprintf(out, "sent at      served refused failed\n")
+	for i, r := range rows {
+		if r != [4]int{} {
+			fmt.Fprintf(out, "%4.0f to %2.0f s  %6d %7d %6d\n", (time.Duration(i) * step).Seconds(), (time.Duration(i+1) * step).Seconds(), r[0], r[1], r[2])
+		}
+	}
+}
+
 type player struct {
 	w      *World
 	rec    *audit.Recording
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -55,6 +55,7 @@
 	closing []int   // descriptors closed at the end of the turn: no event may hit a reused one
 	after   []func()
 	stopped bool
+	turns   uint64
 
 	paused map[*Listener]struct{} // for want of descriptors
 
@@ -127,6 +128,9 @@
 // Timers returns how many timers run.
 func (l *Loop) Timers() int { return l.wheel.Len() }
 
+// Turns returns how often the loop has turned.
+func (l *Loop) Turns() uint64 { return l.turns }
+
 // Shut makes Run return at the end of this turn.
 func (l *Loop) Shut() { l.stopped = true }
 
@@ -151,6 +155,7 @@
 			return fmt.Errorf("loop: epoll_wait: %w", err)
 		}
 		l.now = time.Since(l.origin)
+		l.turns++
 		for i := range max(n, 0) {
 			fd := int(events[i].Fd)
 			if fd == l.wake {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -217,6 +217,13 @@
 	for paused := false; !paused; {
 		do(func() { paused = len(l.paused) == 1 })
 	}
+	var before, after uint64
+	do(func() { before = l.Turns() })
+	time.Sleep(2 * shortOfFiles)
+	do(func() { after = l.Turns() })
+	if after-before > 20 {
+		t.Errorf("%d turns while there was nothing to do but wait", after-before)
+	}
 	for _, f := range taken[1:] {
 		f.Close()
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -384,6 +384,27 @@
 	}
 }
 
+// TestDeafReader: a state at a reader that hears nothing when it is to be let go is let
+// go as soon as it hears again; the stand-in's own limit would take 5 s.
+func TestDeafReader(t *testing.T) {
+	w := start(t, two(1, 1), "aim = 1s", "aim = 400ms")
+	w.engine("w1").Set(standin.Fault{Full: true})
+	done := make(chan reply)
+	go func() { done <- w.ask(call{stream: true, deadline: 600 * ms}) }()
+	w.until("a state rests", func() bool { return w.engine("r1").Stats().States == 1 })
+	w.engine("r1").Set(standin.Fault{Hang: true})
+	if r := <-done; !r.refused() {
+		t.Error(r)
+	}
+	time.Sleep(700 * ms) // some tries fail; right code passes without
+	w.engine("r1").Set(standin.Fault{})
+	began := time.Now()
+	w.until("let go", func() bool { return w.engine("r1").Stats().States == 0 })
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("let go after %v", took)
+	}
+}
+
 // TestDeadlineBetweenStages: the read ends when hardly any time is left, or no writer
 // takes it before the deadline: an answer comes before it, and the state is let go.
 func TestDeadlineBetweenStages(t *testing.T) {
