Requests of no session go to the better of two random servers; note on embeddings

Parts of one request were hashed by their ids, which leaves engines idle beside others with two parts. Nothing binds them to an engine, so they now go as states go to writers.

--- a/control/control.go
+++ b/control/control.go
@@ -366,7 +366,7 @@
 	if last := q.session.last; last != nil && fits(last) {
 		return last
 	}
-	key := cmp.Or(q.Prefix, q.Session, uint64(q.ID))
+	key := cmp.Or(q.Prefix, q.Session)
 	var homes []*server
 	for _, s := range r.ready {
 		if s.role != Writer && r.usable(s, q) {
@@ -376,6 +376,9 @@
 			homes = append(homes, s)
 		}
 	}
+	if key == 0 && len(homes) > 0 { // nothing binds it to any: as for writers
+		return r.lessLoaded(homes)
+	}
 	slices.SortFunc(homes, func(a, b *server) int { return cmp.Compare(b.score, a.score) })
 	popular := r.prefixes[q.Prefix] / (r.seen + othersSeen)
 	for n, left := 0, homeShare*popular; n < len(homes); n++ {
--- a/internal/router/parts_test.go
+++ b/internal/router/parts_test.go
@@ -199,7 +199,7 @@
 				settings := strings.Replace(fmt.Sprintf(demo.Settings, "127.0.0.1:0", 1, "error"), "part_items = 64\npart_tokens = 4000", fmt.Sprintf("part_items = %d\nparts = 64", size), 1)
 				specs := embedders(n)
 				for i := range specs {
-					specs[i].ReadRate = 400_000
+					specs[i].ReadRate, specs[i].Queue = 400_000, 100
 				}
 				w, err := demo.Start(demo.Options{Specs: specs, Settings: settings, Log: io.Discard})
 				if err != nil {
