Identical embeddings requests are computed once, and a cache answers repeats

Dispatchers ask the same while chat runs. control/flight, pure, says who computes and what the others get: each its one answer by its own deadline, a refusal of the leader passes the lead on, a failure is everybody's. The cache keys by tenant, model revision and content, is bounded by bytes and off by default; while engines differ in revision neither acts.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -71,13 +71,16 @@
 
 // Pool is a set of engines that serve the same models.
 type Pool struct {
-	Name    string
-	APIs    []openai.API
-	Models  []string
-	Class   int      // the default
-	Reports []string // names of the metrics of a load report, as Fields
-	Fields  []control.Field
-	Part    batch.Limits // of what goes to one engine at once
+	Name        string
+	APIs        []openai.API
+	Models      []string
+	Class       int      // the default
+	Reports     []string // names of the metrics of a load report, as Fields
+	Fields      []control.Field
+	Part        batch.Limits // of what goes to one engine at once
+	Repeats     bool         // identical embeddings requests are computed once
+	CacheBytes  int          // of answers to embeddings requests; 0 for none
+	CacheShared bool         // tenants may get each other's answers
 }
 
 // Load reads a file.
@@ -265,6 +268,9 @@
 		s.Fail("apis", "is missing; known are %s", strings.Join(openai.APIWords(), ", "))
 	}
 	p.Part = batch.Limits{Tokens: s.Float("part_tokens", 0, 0, 1e9), Items: s.Int("part_items", 0, 0, 1<<20), Parts: s.Int("parts", 16, 1, 256)}
+	p.Repeats = s.Bool("single_flight", true)
+	p.CacheBytes = s.Int("cache_bytes", 0, 0, 1<<40)
+	p.CacheShared = s.Bool("cache_shared", false)
 	name := s.Need("class")
 	if p.Class = slices.IndexFunc(c.Classes, func(k Class) bool { return k.Name == name }); p.Class < 0 {
 		s.Fail("class", "there is no [class %s]", name)
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -30,8 +30,10 @@
 	Zone   string
 	Cell   string
 	Weight float64
-	State  control.State
-	Start  time.Time // of its process; zero for long ago
+	// Revision of the model that it serves: answers of two are not the same.
+	Revision string
+	State    control.State
+	Start    time.Time // of its process; zero for long ago
 }
 
 // maxNodes bounds a list.
@@ -48,7 +50,7 @@
 	addrs := map[netip.AddrPort]string{}
 	for _, s := range f.Sections("node") {
 		n := Node{Name: s.Name, ID: control.ServerID(xxhash.Sum64String(s.Name)), Pool: s.Need("pool"), Addr: s.Address("address", ""),
-			Zone: s.Text("zone", ""), Cell: s.Text("cell", ""), Weight: s.Float("weight", 1, 0.01, 1000),
+			Zone: s.Text("zone", ""), Cell: s.Text("cell", ""), Revision: s.Text("revision", ""), Weight: s.Float("weight", 1, 0.01, 1000),
 			State: control.State(s.Choice("state", "ready", "gone", "ready", "draining"))}
 		if s.Name == "" {
 			s.Fail("", "has no name: write [node NAME]")
--- a/internal/openai/parts.go
+++ b/internal/openai/parts.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"math"
 	"slices"
 	"strconv"
@@ -64,6 +65,16 @@
 	return &p
 }
 
+// Hash adds all that decides the answer: every member but the one that names a user.
+func (c *Call) Hash(h io.Writer) {
+	for _, m := range c.members {
+		if m.name != "user" {
+			_, _ = h.Write(m.raw)
+			_, _ = h.Write([]byte{0})
+		}
+	}
+}
+
 // Checked tells that CheckAnswer has something to say about a call's answers.
 func (c *Call) Checked() bool { return c.API == Embeddings || c.API == Rerank }
 
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -19,14 +19,15 @@
 // front is a client's connection. It has one request at a time; pipelined ones wait
 // unread.
 type front struct {
-	r      *Router
-	c      *loop.Conn
-	parser *http1.Parser
-	timer  wheel.Timer
-	x      *exchange
-	whole  *whole // the request is out in parts
-	part   *part  // this front is a part's and has no connection
-	body   []byte
+	r       *Router
+	c       *loop.Conn
+	parser  *http1.Parser
+	timer   wheel.Timer
+	x       *exchange
+	whole   *whole   // the request is out in parts
+	pending *pending // follows another request, or leads others
+	part    *part    // this front is a part's and has no connection
+	body    []byte
 
 	// of the request at hand
 	minor    int
@@ -111,6 +112,10 @@
 	if f.whole != nil {
 		f.whole.gone()
 	}
+	if w := f.pending; w != nil {
+		f.pending = nil
+		w.left()
+	}
 }
 
 // EOF is taken as leaving, also where only the client's sending half is closed: net/http
@@ -230,6 +235,10 @@
 		f.part.answered(status, kind, body)
 		return
 	}
+	if w := f.pending; w != nil {
+		f.pending = nil
+		w.ended(status, kind, fields, body)
+	}
 	out := f.responseHead(status, kind, id, false)
 	out = http1.AppendLength(append(out, fields...), len(body))
 	f.c.Write(out)
@@ -252,6 +261,13 @@
 	f.next()
 }
 
+// refuseLate ends a request whose time is up before anything was done for it.
+func (f *front) refuseLate() {
+	f.reply(429, "application/json", f.r.nextName(), retryFields(time.Second), (&openai.Error{Status: 429,
+		Message: "The service is overloaded. Nothing was done; please retry later.", Type: "server_error", Code: "overloaded"}).Append(nil))
+	f.next()
+}
+
 func (f *front) parserInside() bool { return !f.parser.Idle() }
 
 // next makes the connection ready for another request, or closes it.
@@ -337,6 +353,14 @@
 	ev := control.Request{Class: n, Tenant: r.cfg.Tenant(f.tenant), Prefix: call.Opening, PrefixLen: call.OpeningLen,
 		PromptLen: call.Prompt, MaxTokens: float64(call.MaxTokens),
 		Deadline: r.now().Add(max(f.patience(p.cfg.Control.Classes[n])-r.cfg.Limits.AnswerMargin, 0))}
+	if !f.repeated(p, call, class, ev) {
+		f.launch(p, call, class, ev)
+	}
+}
+
+// launch has the request computed.
+func (f *front) launch(p *pool, call *openai.Call, class config.Class, ev control.Request) {
+	r := f.r
 	if f.split(p, call, class, ev) {
 		return
 	}
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -142,7 +142,7 @@
 }
 
 // busy tells that a request is under way.
-func (f *front) busy() bool { return f.x != nil || f.whole != nil }
+func (f *front) busy() bool { return f.x != nil || f.whole != nil || f.pending != nil }
 
 // patience is how long the client waits at most.
 func (f *front) patience(class control.Class) time.Duration {
--- a/internal/router/parts_test.go
+++ b/internal/router/parts_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
@@ -17,7 +19,7 @@
 )
 
 // post sends a body as it is, recorded like ask.
-func (w *world) post(ctx context.Context, path, class, body string) reply {
+func (w *world) post(ctx context.Context, path, class, body string, headers ...string) reply {
 	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+w.Service.Router.Addr()+path, strings.NewReader(body))
 	if err != nil {
 		return reply{err: err}
@@ -25,8 +27,15 @@
 	id := fmt.Sprintf("p%d", w.count.Add(1))
 	req.Header.Set("X-Client-Request-Id", id)
 	req.Header.Set("X-Request-Class", class)
+	patience := deadlines[class]
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+		if d, err := time.ParseDuration(headers[i+1] + "ms"); err == nil && headers[i] == "X-Request-Deadline-Ms" {
+			patience = d
+		}
+	}
 	began := w.Clock()
-	w.rec.Add(audit.Event{At: began, Kind: audit.Sent, Request: id, Effect: effects[class], Window: 3 * time.Second, Deadline: began + deadlines[class]})
+	w.rec.Add(audit.Event{At: began, Kind: audit.Sent, Request: id, Effect: effects[class], Window: 3 * time.Second, Deadline: began + patience})
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		w.rec.Add(audit.Event{At: w.Clock(), Kind: audit.Left, Request: id})
@@ -190,6 +199,119 @@
 	}
 }
 
+// TestRepeats: identical requests that are out together are computed once, but not across
+// tenants or for classes that may not run again; one with little time is answered by its
+// own deadline and does not take the others with it; nor does one that leaves.
+func TestRepeats(t *testing.T) {
+	w := start(t, []standin.Spec{embedder("e1")})
+	e := w.engine("e1")
+	body := `{"model":"demo-embed","input":"frozen pipe"}`
+	done := make(chan reply, 64)
+	send := func(ctx context.Context, class string, headers ...string) {
+		go func() { done <- w.post(ctx, "/v1/embeddings", class, body, headers...) }()
+	}
+	waiting := func(n int) func() bool { return func() bool { return e.Stats().Waiting == n } }
+	joined := func(n uint64) func() bool {
+		return func() bool { s, _ := w.Service.Router.Stats(); return s.Joins == n }
+	}
+	e.Set(standin.Fault{Late: 400 * ms})
+	for range 20 {
+		send(context.Background(), "search")
+	}
+	w.until("19 follow one", joined(19))
+	send(context.Background(), "search", "X-Tenant", "other")
+	send(context.Background(), "note")
+	w.until("three are computed", waiting(3))
+	texts := map[string]bool{}
+	for range 22 {
+		r := <-done
+		if !r.served() {
+			t.Error(r)
+		}
+		var v struct{ Data json.RawMessage }
+		_ = json.Unmarshal([]byte(r.body), &v)
+		texts[string(v.Data)] = true
+	}
+	if n := e.Stats().Served; n != 3 || len(texts) != 1 {
+		t.Errorf("computed %d times, %d answers", n, len(texts))
+	}
+
+	// The leader has little time; a follower has less.
+	send(context.Background(), "search", "X-Request-Deadline-Ms", "300")
+	w.until("it leads", waiting(1))
+	send(context.Background(), "search")
+	send(context.Background(), "search", "X-Request-Deadline-Ms", "150")
+	w.until("two follow", joined(21))
+	refused, served := 0, 0
+	for range 3 {
+		if r := <-done; r.refused() {
+			refused++
+		} else if r.served() {
+			served++
+		}
+	}
+	if refused != 2 || served != 1 {
+		t.Errorf("%d refused, %d served", refused, served)
+	}
+
+	ctx, cancel := context.WithCancel(context.Background())
+	send(ctx, "search")
+	w.until("it leads", waiting(1))
+	send(context.Background(), "search")
+	w.until("another follows", joined(22))
+	cancel()
+	for range 2 {
+		if r := <-done; r.err == nil && !r.served() {
+			t.Error(r)
+		}
+	}
+}
+
+// TestCache: a repeat is answered without an engine, not across tenants, not after the
+// model's revision has changed nor while engines differ in it; a flood of other inputs
+// does not take more than its bytes.
+func TestCache(t *testing.T) {
+	w := start(t, []standin.Spec{embedder("e1"), embedder("e2")}, "models = demo-embed\n", "models = demo-embed\ncache_bytes = 50000\n")
+	hit := func(n int, headers ...string) bool {
+		r := w.post(context.Background(), "/v1/embeddings", "search", fmt.Sprintf(`{"model":"demo-embed","input":"pipe %d"}`, n), headers...)
+		if !r.served() {
+			t.Error(r)
+		}
+		return r.header.Get("X-Cache") == "hit"
+	}
+	if hit(0) || !hit(0) || hit(0, "X-Tenant", "other") || !hit(0, "X-Tenant", "other") {
+		t.Error("a repeat of a tenant's own, and of another's")
+	}
+	nodes := filepath.Join(w.Dir(), "nodes.ini")
+	text, err := os.ReadFile(nodes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, list := range []string{strings.ReplaceAll(string(text), "kind = embedder", "kind = embedder\nrevision = 2"),
+		strings.Replace(string(text), "kind = embedder", "kind = embedder\nrevision = 2", 1)} {
+		if err := os.WriteFile(nodes, []byte(list), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		w.until("a list that voids the answer", func() bool { return !hit(0) })
+		if again := hit(0); again != (i == 0) {
+			t.Errorf("list %d: hit again: %v", i, again)
+		}
+	}
+	if err := os.WriteFile(nodes, text, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	w.until("one revision again", func() bool { return hit(0) })
+	for n := range 1500 {
+		hit(n + 1)
+		if s, err := w.Service.Router.Stats(); err != nil || s.Cached > 50_000 {
+			t.Fatalf("%d bytes after %d inputs, %v", s.Cached, n, err)
+		}
+	}
+	if s, _ := w.Service.Router.Stats(); s.Cached < 25_000 {
+		t.Errorf("only %d bytes used", s.Cached)
+	}
+}
+
 // BenchmarkParts measures one request of 2,048 inputs, split and not, over 1 to 4 engines.
 func BenchmarkParts(b *testing.B) {
 	body := `{"model":"demo-embed","encoding_format":"base64","input":` + inputs(2048, "an outage note of a dozen words or so about a frozen pipe") + `}`
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -21,9 +21,13 @@
 	retired bool
 	closed  bool
 	ready   int // servers listed as ready
-	live    map[control.RequestID]*exchange
-	ended   []*exchange
-	lastID  control.RequestID
+	repeats *repeats
+	// revision is that of the model at all ready servers; mixed, that they differ.
+	revision string
+	mixed    bool
+	live     map[control.RequestID]*exchange
+	ended    []*exchange
+	lastID   control.RequestID
 }
 
 func newPool(r *Router, set *config.Pool, salt uint64) *pool {
@@ -33,6 +37,7 @@
 	s.Seed = r.seed + salt*0x9e3779b97f4a7c15
 	p := &pool{r: r, set: set, cfg: r.cfg, live: map[control.RequestID]*exchange{}}
 	p.ctl = control.New(s, r.now())
+	p.repeats = newRepeats(p)
 	return p
 }
 
@@ -122,7 +127,7 @@
 // fleet tells the module of its servers.
 func (p *pool) fleet(list []nodes.Node) {
 	ev := control.Fleet{Full: true}
-	p.ready = 0
+	p.ready, p.revision, p.mixed = 0, "", false
 	for i := range list {
 		n := &list[i]
 		kind := slices.Index(p.cfg.Kinds, n.Kind) // settings in force before may number them otherwise
@@ -130,6 +135,8 @@
 			continue
 		}
 		if n.State == control.Ready {
+			p.mixed = p.mixed || p.ready > 0 && n.Revision != p.revision
+			p.revision = n.Revision
 			p.ready++
 		}
 		ev.Servers = append(ev.Servers, control.Server{ID: n.ID, State: n.State, Kind: kind, Weight: n.Weight, Since: p.r.at(n.Start),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -209,6 +209,10 @@
 					f.x.abandon()
 				} else if f.whole != nil {
 					f.whole.abandon()
+				} else if w := f.pending; w != nil {
+					f.pending = nil
+					w.left()
+					f.refuseLate()
 				} else {
 					f.c.Abort()
 					f.ended()
@@ -226,7 +230,9 @@
 	Bytes                         int64
 	EngineConns                   int
 	Aborts                        int
-	Unsent                        int // bytes of the answer that its client has not taken, the most of any
+	Hits, Joins                   uint64 // embeddings answered from the cache, and by another's answer
+	Cached                        uint64 // bytes of the cache
+	Unsent                        int    // bytes of the answer that its client has not taken, the most of any
 }
 
 // ErrStopped is Stats' error after Run has ended.
@@ -236,7 +242,15 @@
 func (r *Router) Stats() (s Stats, err error) {
 	done := make(chan struct{})
 	r.loop.Post(func() {
-		s = Stats{r.served, r.refused, r.failed, r.left, r.active, r.ln.Open(), r.loop.Timers(), r.bytes, 0, 0, 0}
+		s = Stats{Served: r.served, Refused: r.refused, Failed: r.failed, Left: r.left, Active: r.active, Connections: r.ln.Open(),
+			Timers: r.loop.Timers(), Bytes: r.bytes}
+		for _, p := range r.pools {
+			s.Hits += p.repeats.hits
+			s.Joins += p.repeats.joins
+			if p.repeats.cache != nil {
+				s.Cached += p.repeats.cache.WeightedSize()
+			}
+		}
 		for f := range r.fronts {
 			s.Unsent = max(s.Unsent, f.c.Unsent())
 		}
