Inputs that crash engines stop at their class's attempts, and fail

A poison input walked through up to five engines and was then refused, which public clients repeat. A class may have fewer attempts now, and a request all of whose attempts ended with their connection is failed. Both guards tried by removal, in the module's test and on sockets.

--- a/control/api.go
+++ b/control/api.go
@@ -64,6 +64,7 @@
 	Effect     Effect
 	Scope      Scope         // for Keyed
 	Window     time.Duration // for Keyed: how long repeats are dropped
+	Attempts   int           // most of one request, where below Settings.MaxAttempts; 0 for that
 }
 
 // Tenant is one customer of the service.
--- a/control/control.go
+++ b/control/control.go
@@ -74,7 +74,8 @@
 	pos              int // in the heap; -1 outside
 	lifted           bool
 	ended            bool // answered; kept only while an attempt is out
-	attempts         int
+	attempts, most   int // most: that it may have
+	lost             int // attempts that ended with their connection: what crashes servers loses them all
 	out, started     bool // an attempt is out; its answer streams
 	at               *server
 	sentAt, restedAt Time    // of the latest attempt: its start and its end
@@ -204,7 +205,8 @@
 	r.seq++
 	q := &request{Request: ev, class: class, session: s, arrived: r.now, seq: r.seq,
 		aim:  r.now.Add(class.Aim + time.Duration(float64(class.AimPer1000)*ev.PromptLen/1000)),
-		need: ev.PromptLen + outShare*ev.MaxTokens}
+		need: ev.PromptLen + outShare*ev.MaxTokens,
+		most: min(r.set.MaxAttempts, cmp.Or(class.Attempts, r.set.MaxAttempts))}
 	r.requests[ev.ID] = q
 	r.seen++
 	r.probes += probeShare
@@ -576,6 +578,9 @@
 	if ran && s.role != Reader && q.ranOn == nil {
 		q.ranOn, q.ranAt = s, q.sentAt
 	}
+	if ev.Result == Reset {
+		q.lost++
+	}
 	if ev.Result == Full && ev.Note == 1 { // gone, or out of this writer's reach: read it anew
 		q.holder = nil
 		r.do(Release{ID: q.ID})
@@ -591,7 +596,7 @@
 // state that none takes now rests at its reader until its pin limit is near.
 func (r *Router) next(q *request) {
 	turned := q.holder == nil && len(q.shunned) > 1 && r.turned[Reader] > turnedMost
-	if turned || q.attempts >= r.set.MaxAttempts || r.now >= q.Deadline || !r.mayRepeat(q) {
+	if turned || q.attempts >= q.most || r.now >= q.Deadline || !r.mayRepeat(q) {
 		r.giveUp(q)
 		return
 	}
@@ -627,8 +632,11 @@
 }
 
 // giveUp gives the final answer at once: a refusal where a retry is known to be harmless, else a failure.
+// A request that lost every server it was sent to may be what crashed them: its repeat would crash more.
 func (r *Router) giveUp(q *request) {
-	if q.ranOn == nil || q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Scope == ScopeAll {
+	if poison := q.lost > 1 && q.lost >= q.most; poison {
+		r.do(Fail{ID: q.ID})
+	} else if q.ranOn == nil || q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Scope == ScopeAll {
 		r.do(Refuse{ID: q.ID, RetryAfter: min(r.set.MaxRetryAfter, max(r.eta(q), tickEvery))})
 	} else {
 		r.do(Fail{ID: q.ID})
@@ -849,7 +857,7 @@
 	s.signAt = r.now
 	r.bad(s, silentWeight, "silent")
 	for _, q := range s.out {
-		if r.set.MayCancel && !q.ended && !q.started && q.attempts < r.set.MaxAttempts &&
+		if r.set.MayCancel && !q.ended && !q.started && q.attempts < q.most &&
 			(s.role == Reader || q.class.Effect == Safe) {
 			r.do(Cancel{ID: q.ID, Attempt: q.attempts - 1})
 		}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -626,3 +626,23 @@
 		}
 	}
 }
+
+// TestPoisonStopsAtItsAttempts: a request that crashes each server it meets takes no more
+// of them than its class may, and is failed, not sent back for another round; one that
+// lost a server and then met a full one is refused.
+func TestPoisonStopsAtItsAttempts(t *testing.T) {
+	for _, second := range []Result{Reset, Full} {
+		set := settings(Mixed)
+		set.Classes[0].Attempts = 2
+		s := start(t, set, 0, 0, 0, 0, 0)
+		first := s.sent(s.do(0, s.request(1, 0)))
+		again := s.sent(s.do(ms, Outcome{ID: 1, Attempt: 0, Server: first.Server, Result: Reset}))
+		acts := s.do(ms, Outcome{ID: 1, Attempt: 1, Server: again.Server, Result: second})
+		if len(only[Send](acts)) != 0 {
+			t.Fatalf("a third server: %v", acts)
+		}
+		if fails, refusals := len(only[Fail](acts)), len(only[Refuse](acts)); (fails == 1) != (second == Reset) || fails+refusals != 1 {
+			t.Fatalf("second attempt ended with %d: %d failures, %d refusals", second, fails, refusals)
+		}
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -225,7 +225,8 @@
 		Deadline: s.Duration("deadline", 0, 0, day), TokenAim: s.Duration("token_aim", 0, 0, day),
 		Worth: s.Float("worth", 1, 0, 1e9), LateWorth: s.Float("late_worth", 0.2, 0, 1),
 		Effect: control.Effect(s.Choice("effect", "safe", "safe", "keyed", "unsafe")),
-		Scope:  control.Scope(s.Choice("scope", "all", "all", "zone", "cell")), Window: s.Duration("window", 0, 0, day)}
+		Scope:  control.Scope(s.Choice("scope", "all", "all", "zone", "cell")), Window: s.Duration("window", 0, 0, day),
+		Attempts: s.Int("max_attempts", 0, 0, 100)}
 	whole := k
 	whole.Aim = s.Duration("whole_aim", max(k.Aim, k.Deadline*3/4), 0, day)
 	switch {
--- a/internal/router/parts_test.go
+++ b/internal/router/parts_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -267,6 +268,23 @@
 	}
 }
 
+// TestPoison: an input that crashes each engine that meets it takes no more engines than
+// its class has attempts, and its client is told not to repeat it.
+func TestPoison(t *testing.T) {
+	w := start(t, embedders(5), "[class search]\n", "[class search]\nmax_attempts = 2\n")
+	r := w.post(context.Background(), "/v1/embeddings", "search", `{"model":"demo-embed","input":["good","`+standin.CrashMe+`"]}`)
+	alive := 0
+	for _, e := range w.Find("pool:embeddings") {
+		if c, err := net.Dial("tcp", e.Addr().String()); err == nil {
+			c.Close()
+			alive++
+		}
+	}
+	if !r.failed() || alive != 3 {
+		t.Errorf("%d of 5 engines left, %v", alive, r)
+	}
+}
+
 // TestCache: a repeat is answered without an engine, not across tenants, not after the
 // model's revision has changed nor while engines differ in it; a flood of other inputs
 // does not take more than its bytes.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -45,8 +45,11 @@
 	ColdFor                      time.Duration
 }
 
-// RefuseMe in a request's text makes any engine answer 400.
-const RefuseMe = "REFUSE ME"
+// RefuseMe in a request's text makes any engine answer 400, CrashMe ends its process.
+const (
+	RefuseMe = "REFUSE ME"
+	CrashMe  = "CRASH ME"
+)
 
 // Fault is what is wrong with an engine now; the zero Fault is nothing.
 type Fault struct {
@@ -450,6 +453,11 @@
 		j.stage = control.Writer
 	}
 	k.job = j
+	if bytes.Contains(k.body, []byte(CrashMe)) {
+		j.see(audit.Begun)
+		e.die()
+		return
+	}
 	if bytes.Contains(k.body, []byte(RefuseMe)) {
 		j.see(audit.Begun)
 		j.fail(400, "invalid_input", "an input that no engine takes")
