--- a/internal/demo/badday.go
+++ b/internal/demo/badday.go
@@ -46,6 +46,7 @@
 	Window, Deadline     time.Duration
 	PromptFrom, PromptTo int // tokens
 	Answer               int
+	Items                int // inputs or documents
 	Leave, Slow          float64
 }
 
@@ -85,7 +86,7 @@
 	for _, s := range f.Sections("load") {
 		l := Load{Name: s.Name, Class: s.Need("class"), Share: s.Float("share", 1, 0, 1), Stream: s.Float("stream", 0, 0, 1),
 			Effect: audit.Effect(s.Choice("effect", "safe", "safe", "keyed", "unsafe")), Window: s.Duration("window", 0, 0, time.Hour),
-			Deadline: s.Duration("deadline", 5*time.Second, time.Millisecond, time.Hour), Answer: s.Int("answer", 16, 1, 10000),
+			Deadline: s.Duration("deadline", 5*time.Second, time.Millisecond, time.Hour), Answer: s.Int("answer", 16, 1, 10000), Items: s.Int("items", 2, 1, 2048),
 			Leave: s.Float("leave", 0, 0, 1), Slow: s.Float("slow", 0, 0, 1)}
 		l.API = openai.API(s.Choice("api", "", openai.APIWords()...))
 		from, to, _ := strings.Cut(s.Text("prompt", "100-1000"), "-")
@@ -200,11 +201,15 @@
 	case openai.Completions:
 		v = map[string]any{"model": "demo-chat", "max_tokens": a.load.Answer, "user": fmt.Sprint(a.session), "prompt": a.id + " " + words(a.prompt)}
 	case openai.Embeddings:
-		v = map[string]any{"model": "demo-embed", "input": []string{a.id, words(a.prompt)}}
+		list := []string{}
+		for i := range a.load.Items {
+			list = append(list, fmt.Sprintf("%s/%d %s", a.id, i, words(a.prompt/a.load.Items)))
+		}
+		v = map[string]any{"model": "demo-embed", "input": list}
 	case openai.Rerank:
 		docs := []string{}
-		for range 4 {
-			docs = append(docs, words(a.prompt/4+1))
+		for range a.load.Items {
+			docs = append(docs, words(a.prompt/a.load.Items+1))
 		}
 		v = map[string]any{"model": "demo-rerank", "query": a.id, "documents": docs, "top_n": 2}
 	}
--- a/internal/demo/badday_test.go
+++ b/internal/demo/badday_test.go
@@ -43,10 +43,20 @@
 api = embeddings
 class = search
 deadline = 3s
+[load bulk]
+share = 0.05
+api = embeddings
+class = search
+effect = safe
+prompt = 500-2500
+items = 200
+deadline = 3s
+leave = 0.05
 [load rank]
 share = 0.1
 api = rerank
 class = search
+items = 4
 deadline = 3s
 [fault errors]
 at = 200ms
