--- a/control/control.go
+++ b/control/control.go
@@ -74,8 +74,8 @@
 	pos              int // in the heap; -1 outside
 	lifted           bool
 	ended            bool // answered; kept only while an attempt is out
-	attempts, most   int // most: that it may have
-	lost             int // attempts that ended with their connection: what crashes servers loses them all
+	attempts, most   int  // most: that it may have
+	lost             int  // attempts that ended with their connection: what crashes servers loses them all
 	out, started     bool // an attempt is out; its answer streams
 	at               *server
 	sentAt, restedAt Time    // of the latest attempt: its start and its end
