Tests: a hundred pipelined requests, 32 MB of content

Two hard cases of embeddings that had no test: answers come in order, content over the limit is refused at its head, whether told ahead or in chunks, and nothing is held for it.

--- a/internal/router/parts_test.go
+++ b/internal/router/parts_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -359,3 +360,52 @@
 		}
 	}
 }
+
+// TestPipelinedAndLarge: a client that pipelines a hundred requests gets a hundred answers
+// in order; 32 MB of content are refused, told ahead or in chunks, and cost no memory.
+func TestPipelinedAndLarge(t *testing.T) {
+	w := start(t, embedders(2))
+	const n = 100
+	var all strings.Builder
+	for i := range n {
+		body := fmt.Sprintf(`{"model":"demo-embed","dimensions":%d,"input":"pipe"}`, i+1)
+		fmt.Fprintf(&all, "POST /v1/embeddings HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	c, err := net.Dial("tcp", w.Service.Router.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, all.String()); err != nil {
+		t.Fatal(err)
+	}
+	in := bufio.NewReader(c)
+	for i := range n {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(i, err)
+		}
+		var v struct {
+			Data []struct{ Embedding []float64 }
+		}
+		if err := json.NewDecoder(resp.Body).Decode(&v); err != nil || len(v.Data) != 1 || len(v.Data[0].Embedding) != i+1 {
+			t.Fatalf("answer %d: %d, %v, %v", i, resp.StatusCode, v, err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
+	for _, head := range []string{"Content-Length: 33554432\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n2000000\r\n"} {
+		c, err := net.Dial("tcp", w.Service.Router.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(c, "POST /v1/embeddings HTTP/1.1\r\nHost: x\r\n"+head)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != 413 {
+			t.Errorf("%q: %v, %v", head, resp, err)
+		}
+		c.Close()
+	}
+	if s, err := w.Service.Router.Stats(); err != nil || s.Bytes > 0 {
+		t.Errorf("%d bytes held, %v", s.Bytes, err)
+	}
+}
