One writer of changed objects, bounded zone and cell names, single flight's class in its module

Read over once more: two copies of one loop in the merging of answers, a table of names that grew with every list, and a rule about classes that had slipped from control/flight into the glue.

--- a/control/flight/flight.go
+++ b/control/flight/flight.go
@@ -48,6 +48,10 @@
 	Failed // or rejected by an engine: another try of the same would end no better
 )
 
+// May tells whether requests of a class may share one answer: only where running them
+// again, or not at all, is all the same.
+func May(class control.Class) bool { return class.Effect == control.Safe }
+
 // Arrive takes a request that must be answered by due. lead tells that it is to be
 // computed; otherwise it waits for what End, Leave or Due say of it.
 func (t *Table) Arrive(key Key, id ID, due control.Time) (lead bool) {
--- a/internal/openai/parts.go
+++ b/internal/openai/parts.go
@@ -205,26 +205,15 @@
 				if i > 0 {
 					out = append(out, ',')
 				}
-				out = appendIndexed(out, it.value, it.index)
+				out = appendChanged(out, it.value, func(key string, _ gjson.Result) (int64, bool) {
+					return int64(it.index), key == "index"
+				})
 			}
 			out = append(out, ']')
 		case key.Str == "usage" && v.IsObject():
-			out = append(out, '{')
-			first := true
-			v.ForEach(func(key, v gjson.Result) bool {
-				if !first {
-					out = append(out, ',')
-				}
-				first = false
-				out = append(append(out, key.Raw...), ':')
-				if v.Type == gjson.Number {
-					out = strconv.AppendInt(out, usage[key.Str], 10)
-				} else {
-					out = append(out, v.Raw...)
-				}
-				return true
+			out = appendChanged(out, v, func(key string, v gjson.Result) (int64, bool) {
+				return usage[key], v.Type == gjson.Number
 			})
-			out = append(out, '}')
 		default:
 			out = append(out, v.Raw...)
 		}
@@ -233,8 +222,8 @@
 	return append(out, '}')
 }
 
-// appendIndexed appends an object with another index.
-func appendIndexed(out []byte, v gjson.Result, index int) []byte {
+// appendChanged appends an object with other numbers in the place of some members.
+func appendChanged(out []byte, v gjson.Result, number func(key string, v gjson.Result) (int64, bool)) []byte {
 	out = append(out, '{')
 	first := true
 	v.ForEach(func(key, v gjson.Result) bool {
@@ -243,8 +232,8 @@
 		}
 		first = false
 		out = append(append(out, key.Raw...), ':')
-		if key.Str == "index" {
-			out = strconv.AppendInt(out, int64(index), 10)
+		if n, ok := number(key.Str, v); ok {
+			out = strconv.AppendInt(out, n, 10)
 		} else {
 			out = append(out, v.Raw...)
 		}
--- a/internal/router/repeats.go
+++ b/internal/router/repeats.go
@@ -82,7 +82,7 @@
 // computed; false where it is to be computed itself.
 func (f *front) repeated(p *pool, call *openai.Call, class config.Class, ev control.Request) bool {
 	// Engines of two revisions give two answers to one input: neither is known ahead.
-	if call.API != openai.Embeddings || !p.set.Repeats || p.mixed || p.cfg.Control.Classes[class.Whole].Effect != control.Safe {
+	if call.API != openai.Embeddings || !p.set.Repeats || p.mixed || !flight.May(p.cfg.Control.Classes[class.Whole]) {
 		return false
 	}
 	s, r := p.repeats, p.r
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -157,12 +157,17 @@
 	r.log.Info().Int("nodes", len(list)).Msg("node list taken")
 }
 
+// mostNames bounds the zones and cells that a router has ever been told of.
+const mostNames = 1<<16 - 1
+
 // number gives a name a small number that it keeps.
 func number(table map[string]uint16, name string) uint16 {
 	n, ok := table[name]
 	if !ok {
-		n = uint16(len(table)) // 65,536 zones or cells would share numbers: a worse choice of writer, no more
-		table[name] = n
+		n = uint16(min(len(table), mostNames)) // those above share one: a worse choice of writer, no more
+		if len(table) < mostNames {
+			table[name] = n
+		}
 	}
 	return n
 }
