--- a/control/api.go
+++ b/control/api.go
@@ -130,6 +130,8 @@
 	MaxTokens float64 // longest answer
 	Deadline  Time    // the client leaves then
 	Resumed   bool    // a broken stream that comes back
+	Tried     int     // attempts that it had as one of a joined call; its class allows so many fewer
+	Lost      int     // and how many of them ended with their connection
 }
 
 // Started tells that an answer has begun; the attempt now belongs to the client.
--- a/control/control.go
+++ b/control/control.go
@@ -214,7 +214,7 @@
 	q := &request{Request: ev, class: class, session: s, arrived: r.now, seq: r.seq,
 		aim:  r.now.Add(class.Aim + time.Duration(float64(class.AimPer1000)*ev.PromptLen/1000)),
 		need: ev.PromptLen + outShare*ev.MaxTokens,
-		most: min(r.set.MaxAttempts, cmp.Or(class.Attempts, r.set.MaxAttempts))}
+		lost: ev.Lost, most: min(r.set.MaxAttempts, cmp.Or(class.Attempts, r.set.MaxAttempts)) - ev.Tried}
 	r.requests[ev.ID] = q
 	r.seen++
 	r.probes += probeShare
@@ -640,7 +640,7 @@
 // giveUp gives the final answer at once: a refusal where a retry is known to be harmless, else a failure.
 // A request that lost every server it was sent to may be what crashed them: its repeat would crash more.
 func (r *Router) giveUp(q *request) {
-	if poison := q.lost > 1 && q.lost >= q.most; poison {
+	if poison := q.lost > 1 && q.lost >= q.most+q.Tried; poison {
 		r.do(Fail{ID: q.ID})
 	} else if q.ranOn == nil || q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Scope == ScopeAll {
 		r.do(Refuse{ID: q.ID, RetryAfter: min(r.set.MaxRetryAfter, max(r.eta(q), tickEvery))})
