measure embeddings: parts, shared calls and the gate side by side; the gate's pace at first

Found by the first measurement: before any pace was known the gate took all to be late where the clock was far from its origin (0 times infinity), and refused every large request.

--- a/cmd/martenlock/main.go
+++ b/cmd/martenlock/main.go
@@ -14,13 +14,14 @@
 
 	"martenlock/internal/bench"
 	"martenlock/internal/demo"
+	"martenlock/internal/experiment"
 	"martenlock/internal/service"
 )
 
 func main() {
 	root := &cobra.Command{Use: "martenlock", Short: "A router for language models with separate readers and writers",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(serveCommand(), checkCommand(), demoCommand(), benchCommand(), benchProcess())
+	root.AddCommand(serveCommand(), checkCommand(), demoCommand(), benchCommand(), benchProcess(), measureCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "martenlock:", err)
 		os.Exit(1)
@@ -104,6 +105,21 @@
 	return cmd
 }
 
+func measureCommand() *cobra.Command {
+	var o experiment.Options
+	cmd := &cobra.Command{Use: "measure embeddings", Short: "Compare ways of running the router on small worlds of stand-ins", Args: cobra.ExactArgs(1), ValidArgs: []string{"embeddings"},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			o.Out = cmd.OutOrStdout()
+			if args[0] == "embeddings" {
+				return experiment.Embeddings(o)
+			}
+			return fmt.Errorf("there is no experiment %q; there is embeddings", args[0])
+		}}
+	cmd.Flags().DurationVar(&o.Span, "span", 4*time.Second, "how long each measurement takes")
+	cmd.Flags().StringVar(&o.Dir, "plots", "", "a folder for plots; none are drawn without")
+	return cmd
+}
+
 // benchProcess is what bench starts.
 func benchProcess() *cobra.Command {
 	return &cobra.Command{Use: "bench-process KIND BACKEND", Hidden: true, Args: cobra.ExactArgs(2),
--- a/control/size/size.go
+++ b/control/size/size.go
@@ -184,7 +184,8 @@
 // paceNow is what the pool does of large requests. Old knowledge fades towards the better:
 // what nobody tries any more must be tried again.
 func (g *Gate) paceNow(now control.Time) float64 {
-	return g.pace * math.Exp(max(now.Sub(g.paceAt), 0).Seconds()/paceAge.Seconds())
+	age := min(max(now.Sub(g.paceAt).Seconds()/paceAge.Seconds(), 0), 20)
+	return g.pace * math.Exp(age)
 }
 
 // look closes a span of time in which work was out.
--- a/control/size/size_test.go
+++ b/control/size/size_test.go
@@ -11,7 +11,7 @@
 
 const second = time.Second
 
-func at(d time.Duration) control.Time { return control.Time(1e9).Add(d) }
+func at(d time.Duration) control.Time { return control.Time(1e12).Add(d) }
 
 func units(n int, tokens float64) (list []float64) {
 	for range n {
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -17,6 +17,7 @@
 	"martenlock/control"
 	"martenlock/internal/config"
 	"martenlock/internal/inifile"
+	"martenlock/internal/openai"
 )
 
 // Node is one engine.
@@ -63,7 +64,8 @@
 			s.Fail("address", "%s is node %s already", n.Addr, other)
 		}
 		addrs[n.Addr] = n.Name
-		if !slices.ContainsFunc(c.Pools, func(p config.Pool) bool { return p.Name == n.Pool }) {
+		pool := slices.IndexFunc(c.Pools, func(p config.Pool) bool { return p.Name == n.Pool })
+		if pool < 0 {
 			s.Fail("pool", "there is no [pool %s] in %s", n.Pool, c.File)
 		}
 		if kind := s.Need("kind"); kind != "" {
@@ -71,6 +73,10 @@
 				s.Fail("kind", "there is no [kind %s] in %s", kind, c.File)
 			} else {
 				n.Kind, n.Role = kind, c.Control.KindRole[i]
+				whole := func(a openai.API) bool { return a == openai.Embeddings || a == openai.Rerank }
+				if pool >= 0 && n.Role != control.Mixed && slices.ContainsFunc(c.Pools[pool].APIs, whole) {
+					s.Fail("kind", "%s is no kind of role mixed: [pool %s] serves embeddings or rerank, which have one stage", kind, n.Pool)
+				}
 			}
 		}
 		if start := s.Text("start", ""); start != "" {
