Calls for several: spread over free servers, one by one after a lost engine; hard cases tested

Played with poison inputs: an innocent request that shared a call and then an engine with one lost all its attempts and was failed. Members of a call that lost its engine now go one by one until the one at fault has lost another. What waits is spread over free servers. A second call for other inputs of one request says which part of it it is.

--- a/control/batch/join.go
+++ b/control/batch/join.go
@@ -47,7 +47,9 @@
 //
 // Members keep their own deadlines, and may leave; those who are left get their answers.
 // When a call fails in a way that one of its members may be the cause of, each goes alone
-// with what attempts the call has left: a bad input costs no one else more than time.
+// with what attempts the call has left: a bad input costs no one else more than time. Where
+// an engine was lost they go one by one, until that which loses another is found: beside it
+// the others would lose their attempts too.
 type Joiner struct {
 	set     JoinLimits
 	servers int
@@ -137,11 +139,12 @@
 	for _, l := range j.waits {
 		for len(l.waiting) > 0 {
 			full := l.items > j.set.Items || l.tokens > j.set.Tokens
-			free := l.out < max(j.servers/j.set.Routers, 1)
-			if !full && !free && now < l.by {
+			free := max(j.servers/j.set.Routers, 1) - l.out
+			if !full && free <= 0 && now < l.by {
 				break
 			}
-			send = append(send, j.send(now, l))
+			// Spread over what is free: joining pays where there is nothing to be had otherwise.
+			send = append(send, j.send(now, l, (len(l.waiting)+max(free, 1)-1)/max(free, 1)))
 		}
 		if l.listed = len(l.waiting) > 0; l.listed {
 			keep = append(keep, l)
@@ -168,10 +171,11 @@
 // over tells that a member needs nothing any more.
 func (j *Joiner) over(m *member) bool { return j.members[m.ID] != m }
 
-// send takes as many as fit in one call, and at least one, from the front of a line.
-func (j *Joiner) send(now control.Time, l *joinLine) Call {
+// send takes as many as fit in one call, and at least one but no more than most, from the
+// front of a line.
+func (j *Joiner) send(now control.Time, l *joinLine, most int) Call {
 	n, items, tokens := 0, 0, 0.0
-	for n < len(l.waiting) {
+	for n < min(len(l.waiting), most) {
 		m := l.waiting[n]
 		if n > 0 && (items+m.Items > j.set.Items || tokens+m.Tokens > j.set.Tokens) {
 			break
@@ -201,13 +205,22 @@
 	return c
 }
 
-// End takes in the end of a call after so many attempts, of which the class allows most.
-// All that are still its members get its answer, or each is to go alone; they are
-// forgotten here.
-func (j *Joiner) End(now control.Time, call uint64, outcome Outcome, tried, most int) (members []uint64, alone bool) {
+// Sequel is what comes for the members of a call after its end.
+type Sequel uint8
+
+// The sequels.
+const (
+	Share    Sequel = iota // they get its answer
+	Alone                  // each goes alone
+	OneByOne               // and none before the one ahead of it has ended, or one has lost its engine
+)
+
+// End takes in the end of a call after so many attempts, of which some were lost and the
+// class allows most. Those that are still its members are forgotten here.
+func (j *Joiner) End(now control.Time, call uint64, outcome Outcome, tried, lost, most int) (members []uint64, then Sequel) {
 	g := j.calls[call]
 	if g == nil {
-		return nil, false
+		return nil, Share
 	}
 	if outcome == Served {
 		took := now.Sub(g.since).Seconds()
@@ -225,7 +238,13 @@
 	j.forget(g.line)
 	// A refusal that no attempt came before says that there is no room: not for each either.
 	fault := outcome == Failed || outcome == Rejected || outcome == Refused && tried > 0
-	return members, fault && g.many && tried < most
+	switch {
+	case !fault || !g.many || tried >= most:
+		return members, Share
+	case lost > 0:
+		return members, OneByOne
+	}
+	return members, Alone
 }
 
 // Leave takes in that a request needs no answer any more. empty tells that it was the last
--- a/control/size/size.go
+++ b/control/size/size.go
@@ -2,9 +2,9 @@
 // unit of a large request (a part, or all of it) may go on to the decision module, which
 // alone says where it goes; small requests never pass through here, they are only heard of.
 //
-// The rule: large requests have no more work out than the pool does in Settings.Wait, and
-// never less than one unit for each server, or as much less as small ones that come late
-// ask for. What they wait for is shared between tenants by tokens; of one tenant the
+// The rule: large requests have no more work out than the pool does in Settings.Wait (four
+// times that while no small ones come), and never less than one unit for each server, or as
+// much less as small ones that come late ask for. What they wait for is shared between tenants by tokens; of one tenant the
 // request that was begun comes first, then the smallest. One that can't end before its
 // deadline at the pace that is seen is refused when it arrives, or as soon as it shows.
 //
@@ -57,6 +57,8 @@
 	yieldLeast = 0.05 // then one unit at a time, mostly
 	yieldStep  = 0.02 // given back for each small one in time
 	yieldBack  = 0.25 // and each second
+	alone      = 4.0  // times Wait while no small request has come for aloneFor
+	aloneFor   = time.Second
 	mostIdle   = 1024 // tenants that are remembered, about
 )
 
@@ -102,6 +104,7 @@
 	yield   float64
 	cutAt   control.Time
 	yieldAt control.Time
+	smallAt control.Time // a small request was last heard of
 	checked control.Time // of what waits, for lateness
 }
 
@@ -280,6 +283,7 @@
 // Small takes in how long a small request of the pool took to its first token or whole
 // answer, and its aim; one that was refused took it all.
 func (g *Gate) Small(now control.Time, took, aim time.Duration) {
+	g.smallAt = now
 	if float64(took) <= lateShare*float64(aim) {
 		g.yield = min(g.yield+yieldStep, 1)
 	} else if g.outN > 0 && now.Sub(g.cutAt) >= g.set.Wait {
@@ -292,7 +296,11 @@
 	g.yield = min(g.yield+yieldBack*max(now.Sub(g.yieldAt), 0).Seconds(), 1)
 	g.yieldAt = now
 	servers := max(float64(g.servers)/float64(g.set.Routers), 1)
-	return g.yield * max(servers*g.unit, g.pace*g.set.Wait.Seconds())
+	wait := g.set.Wait.Seconds()
+	if g.smallAt == 0 || now.Sub(g.smallAt) > aloneFor {
+		wait *= alone
+	}
+	return g.yield * max(servers*g.unit, g.pace*wait)
 }
 
 // Turn says what is let go now, in order, and which requests can't end in time any more:
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -281,7 +281,7 @@
 	if p.Class = slices.IndexFunc(c.Classes, func(k Class) bool { return k.Name == name }); p.Class < 0 {
 		s.Fail("class", "there is no [class %s]", name)
 	} else {
-		p.LargeWait = s.Duration("large_wait", c.Control.Classes[c.Classes[p.Class].Stream].Aim/4, 0, time.Minute)
+		p.LargeWait = s.Duration("large_wait", c.Control.Classes[c.Classes[p.Class].Stream].Aim/10, 0, time.Minute)
 	}
 	for _, pair := range s.List("report") {
 		metric, field, ok := strings.Cut(pair, ":")
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -69,8 +69,8 @@
 	forward  []byte // header fields that engines get
 	tenant   string
 	tokens   float64 // of the whole request of which this is some
-	tried    int     // attempts before
 	tenantID uint64
+	mark     string // which part of its client's request it is; "" for all
 }
 
 // run begins a task. It answers no sooner than in a later turn.
@@ -90,6 +90,9 @@
 func (t *task) single(cl client, name string) *exchange {
 	p := t.p
 	x := &exchange{p: p, cl: cl, id: p.id(), name: name, call: t.call, path: t.path, forward: t.forward}
+	if t.mark != "" { // engines may see several of a client's id at once
+		x.forward = http1.AppendField(t.forward[:len(t.forward):len(t.forward)], "X-Request-Part", t.mark)
+	}
 	p.live[x.id] = x
 	t.ev.ID = x.id
 	p.push(t.ev)
--- a/internal/router/join.go
+++ b/internal/router/join.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"slices"
 	"strings"
 	"time"
 
@@ -15,12 +16,65 @@
 
 // member is a small embeddings request that may share a call with others.
 type member struct {
+	wholeOnly
 	t      *task
 	cl     client
 	id     uint64
 	items  [][]byte
 	tokens []float64
 	alone  *exchange // after its call failed
+	line   *suspects // waits for those ahead of it then
+	timer  wheel.Timer
+}
+
+// suspects are the members of a call that lost its engine. They go one by one.
+type suspects struct {
+	list []*member // those that have not ended; the first is out
+	call answer    // what the call had come to
+	all  bool      // the one at fault is found: all are out
+}
+
+// next begins the one whose turn it is.
+func (l *suspects) next() {
+	for i, m := range l.list {
+		if m.alone == nil && (i == 0 || l.all) {
+			m.t.p.r.loop.Stop(&m.timer)
+			m.single(m, l.call)
+		}
+	}
+}
+
+// gone takes a member out of the line.
+func (l *suspects) gone(m *member) {
+	m.t.p.r.loop.Stop(&m.timer)
+	l.list = slices.DeleteFunc(l.list, func(o *member) bool { return o == m })
+	l.next()
+}
+
+// wait has a member wait in the line, until its deadline at most.
+func (l *suspects) wait(m *member) {
+	l.list = append(l.list, m)
+	m.line = l
+	m.timer.Fire = func() {
+		l.gone(m)
+		m.cl.reply(overloaded(m.t.p.r.nextName(), time.Second))
+	}
+	m.t.p.r.loop.Start(&m.timer, max(m.t.ev.Deadline.Sub(m.t.p.r.now()), 0))
+}
+
+// single sends a member alone, after what its call had come to.
+func (m *member) single(cl client, call answer) {
+	t := *m.t
+	t.ev.Tried, t.ev.Lost = call.tried, call.lost
+	m.alone = t.single(cl, t.p.r.nextName())
+}
+
+// reply takes the answer of a suspect.
+func (m *member) reply(a answer) {
+	l := m.line
+	l.all = l.all || a.lost > 0
+	l.gone(m)
+	m.cl.reply(a)
 }
 
 // joined is the client of a call for several members.
@@ -67,7 +121,7 @@
 // join takes a request that may share a call; nil where it may not.
 func (t *task) join(cl client) work {
 	s := t.p.joins
-	if t.call.API != openai.Embeddings || !s.j.Small(t.call.Count, t.call.Prompt) || !batch.MayJoin(*t.control(), t.p.attempts(t.control())) {
+	if t.call.API != openai.Embeddings || t.mark != "" || !s.j.Small(t.call.Count, t.call.Prompt) || !batch.MayJoin(*t.control(), t.p.attempts(t.control())) {
 		return nil
 	}
 	m := &member{t: t, cl: cl}
@@ -96,6 +150,11 @@
 	s := m.t.p.joins
 	if m.alone != nil {
 		m.alone.leave()
+	}
+	if m.line != nil {
+		m.line.gone(m)
+	}
+	if m.alone != nil || m.line != nil {
 		return
 	}
 	delete(s.members, m.id)
@@ -216,7 +275,8 @@
 		outcome = batch.Failed
 	}
 	list := s.members
-	ids, alone := s.j.End(p.r.now(), g.id, outcome, a.tried, g.most)
+	ids, then := s.j.End(p.r.now(), g.id, outcome, a.tried, a.lost, g.most)
+	line := &suspects{call: a}
 	s.kick()
 	var pieces []openai.Piece
 	var usage []int64
@@ -227,10 +287,10 @@
 		m := list[id]
 		delete(list, id)
 		switch {
-		case alone:
-			t := *m.t
-			t.ev.Tried, t.ev.Lost = a.tried, a.lost
-			m.alone = t.single(m.cl, p.r.nextName())
+		case then == batch.OneByOne:
+			line.wait(m)
+		case then == batch.Alone:
+			m.single(m.cl, a)
 		case pieces != nil:
 			s.shared++
 			from, own := g.from[id], int64(0)
@@ -243,4 +303,5 @@
 			m.cl.reply(a)
 		}
 	}
+	line.next()
 }
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -6,7 +6,6 @@
 
 	"martenlock/control/batch"
 	"martenlock/control/size"
-	"martenlock/internal/http1"
 	"martenlock/internal/wheel"
 )
 
@@ -91,7 +90,7 @@
 	}
 	w.t.p.r.bytes += pt.size
 	t.ev.PromptLen, t.ev.Session = sum, 0 // a session's engine would get all parts
-	t.forward = http1.AppendField(t.forward[:len(t.forward):len(t.forward)], "X-Request-Part", fmt.Sprintf("%d/%d", i+1, len(w.plan)))
+	t.mark += fmt.Sprintf("%d/%d", i+1, len(w.plan))
 	pt.x = t.single(pt, fmt.Sprintf("%s-%d", w.name, i))
 }
 
--- a/internal/router/repeats.go
+++ b/internal/router/repeats.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -105,6 +106,7 @@
 	hits    int
 	frame   []byte // an answer to take the other members from
 	out     []*lookup
+	calls   int // for some of its inputs
 	held    int64
 	over    bool
 }
@@ -189,6 +191,8 @@
 		t.call = t.call.Part(items, sum)
 		t.ev.PromptLen, t.tokens = sum, sum
 		l.call = t.call
+		a.calls++
+		t.mark = fmt.Sprintf("%d.", a.calls)
 	}
 	a.out = append(a.out, l)
 	l.w = t.run(l)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -458,20 +458,18 @@
 		j.stage = control.Writer
 	}
 	k.job = j
-	if bytes.Contains(k.body, []byte(CrashMe)) {
+	if k.deaf == "" {
 		j.see(audit.Begun)
+	}
+	k.deaf = ""
+	if bytes.Contains(k.body, []byte(CrashMe)) {
 		e.die()
 		return
 	}
 	if bytes.Contains(k.body, []byte(RefuseMe)) {
-		j.see(audit.Begun)
 		j.fail(400, "invalid_input", "an input that no engine takes")
 		return
 	}
-	if k.deaf == "" {
-		j.see(audit.Begun)
-	}
-	k.deaf = ""
 	if e.fault.ResetBefore {
 		k.drop()
 		k.c.Reset()
