--- a/internal/nodes/nodes_test.go
+++ b/internal/nodes/nodes_test.go
@@ -89,6 +89,13 @@
 	if err != nil || len(good) != 2 || good[0].ID == good[1].ID || good[1].Start.IsZero() {
 		t.Fatal(good, err)
 	}
+	both, err := config.Parse("f.ini", []byte(strings.Replace(settings, "apis = chat", "apis = embeddings, chat", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := nodes.Parse("n.ini", []byte(list), both); err == nil || !strings.Contains(err.Error(), "[node r1] kind: reader is no kind of role mixed") {
+		t.Error(err)
+	}
 	for _, c := range []struct{ old, new, want string }{
 		{list, "", "n.ini: no section [node NAME]"},
 		{"[node w1]", "[node r1]", "[node r1] stands twice"},
