--- a/control/control_test.go
+++ b/control/control_test.go
@@ -666,3 +666,24 @@
 		t.Fatalf("%d sent, %d refused", len(only[Send](acts)), len(only[Refuse](acts)))
 	}
 }
+
+// TestAttemptsInCompanyCount: what a request had in a joined call is off its attempts, and a
+// request that loses the rest too is failed: its repeat would crash more servers.
+func TestAttemptsInCompanyCount(t *testing.T) {
+	set := settings(Mixed)
+	set.Classes[0].Attempts = 2
+	for _, c := range []struct {
+		tried, lost int
+		end         Result
+		fails       bool
+	}{{1, 1, Reset, true}, {1, 0, Reset, false}, {1, 1, Full, false}} {
+		s := start(t, set, 0, 0, 0, 0)
+		q := s.request(1, 0)
+		q.Tried, q.Lost = c.tried, c.lost
+		send := s.sent(s.do(0, q))
+		acts := s.do(ms, Outcome{ID: 1, Server: send.Server, Result: c.end})
+		if len(only[Send](acts)) > 0 || len(only[Fail](acts)) > 0 != c.fails || len(only[Refuse](acts)) > 0 == c.fails {
+			t.Errorf("%+v: %v", c, acts)
+		}
+	}
+}
--- a/internal/router/embed_test.go
+++ b/internal/router/embed_test.go
@@ -290,6 +290,12 @@
 		})
 	}
 	w.until("bulk is out", func() bool { return w.engine("e1").Stats().Waiting > 0 })
+	ctx, cancel := context.WithCancel(context.Background())
+	left := make(chan reply)
+	go func() {
+		left <- w.post(ctx, "/v1/embeddings", "search", strings.Replace(bulk, `"input":[`, `"input":["waits",`, 1))
+	}()
+	time.AfterFunc(100*ms, cancel) // while it waits at the gate, or a little before or after
 	most := 0
 	for i := range 30 {
 		for _, e := range w.Find("pool:embeddings") {
@@ -300,6 +306,9 @@
 		}
 	}
 	wait.Wait()
+	if r := <-left; r.err == nil && !r.refused() {
+		t.Error(r)
+	}
 	if counts["served"] == 0 || counts["refused"] == 0 || counts["served"]+counts["refused"] != 12 || most > 12 {
 		t.Errorf("bulk: %v; %d units waited at one engine", counts, most)
 	}
