--- a/control/size/size_test.go
+++ b/control/size/size_test.go
@@ -159,7 +159,7 @@
 // TestShares: tenants get alike, however many requests each has waiting, and also one
 // that never has more than one; of one tenant the begun one comes first, then the smallest.
 func TestShares(t *testing.T) {
-	p := newPool(2, 10000, Settings{Large: 1, Wait: 100 * time.Millisecond})
+	p := newPool(1, 20000, Settings{Large: 1})
 	p.arrive(99, 2, 1, 1000, time.Hour) // the first of all: ties are its own
 	for i := range ID(20) {
 		p.arrive(i+1, 1, 4, 1000, time.Hour)
