A request whose first token would come after its deadline is refused at arrival

The aim grows with the prompt, the deadline does not: an enormous prompt was held or read until its client left, though recent times said that it could not be in time. Lateness is judged by the earlier of both.

--- a/control/control.go
+++ b/control/control.go
@@ -337,7 +337,7 @@
 func (r *Router) tooLate(q *request) bool {
 	ahead := float64(max(q.pos-heldByChance, 0)) / cmp.Or(r.flow, math.Inf(1))
 	starts := r.now.Add(r.eta(q) + time.Duration(ahead*float64(time.Second)))
-	return r.now.Add(2*tickEvery) >= q.Deadline || !q.Resumed && starts > q.aim
+	return r.now.Add(2*tickEvery) >= q.Deadline || !q.Resumed && starts > min(q.aim, q.Deadline)
 }
 
 // eta is the least time in which a request could yet get its first token.
