What no engine can hold is a 400 at once, and estimates learn from usage

One chat of 8 MB on the demo had 230 of 436 small chats refused: it was read for its whole deadline by readers that were then held to be sick. A pool knows the most that a request may have, from max_context and the servers' memory; what surely has more is answered as context_length_exceeded before any engine is asked.

Estimates of prompts are corrected by usage, pool by pool.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -78,6 +78,7 @@
 	Reports     []string // names of the metrics of a load report, as Fields
 	Fields      []control.Field
 	Part        batch.Limits     // of what goes to one engine at once
+	Context     float64          // most tokens of prompt and answer, by the model; 0 for unknown
 	Large       float64          // tokens above which a request passes the gate; 0: none does
 	LargeWait   time.Duration    // of work that large requests may have out
 	Join        batch.JoinLimits // of small embeddings requests that share a call
@@ -272,6 +273,7 @@
 		s.Fail("apis", "is missing; known are %s", strings.Join(openai.APIWords(), ", "))
 	}
 	p.Part = batch.Limits{Tokens: s.Float("part_tokens", 0, 0, 1e9), Items: s.Int("part_items", 0, 0, 1<<20), Parts: s.Int("parts", 64, 1, 1024)}
+	p.Context = s.Float("max_context", 0, 0, 1e9)
 	p.Large = s.Float("large_tokens", p.Part.Tokens, 0, 1e9)
 	p.Join = batch.JoinLimits{Wait: s.Duration("join_wait", 0, 0, time.Second), Items: s.Int("join_items", 64, 2, 2048), Tokens: s.Float("join_tokens", 2000, 1, 1e9)}
 	p.Repeats = s.Bool("single_flight", true)
--- a/internal/openai/openai.go
+++ b/internal/openai/openai.go
@@ -75,6 +75,8 @@
 	Model      string
 	Stream     bool
 	MaxTokens  int     // longest answer
+	Asked      int     // longest answer that the request itself names; 0 where it names none
+	Longest    float64 // estimated tokens of the longest item, where each is computed for itself
 	Prompt     float64 // estimated tokens
 	Opening    uint64  // hash of what it may share with other sessions; 0 for none
 	OpeningLen float64 // estimated tokens of that
@@ -291,7 +293,8 @@
 		if err != nil {
 			return err
 		}
-		if c.MaxTokens = max(old, now); c.MaxTokens == 0 {
+		c.Asked = max(old, now)
+		if c.MaxTokens = c.Asked; c.MaxTokens == 0 {
 			c.MaxTokens = rules.MaxTokens
 		}
 		n, err := count("n", f.n)
@@ -335,6 +338,7 @@
 	if err == nil && n == 0 {
 		return Invalid("messages", "messages must not be empty")
 	}
+	c.Longest = c.Prompt
 	// A conversation's first and only message is its own: it opens no other's.
 	if n > rules.Opening && rules.Opening > 0 {
 		c.Opening = opening.Sum64()
@@ -360,6 +364,7 @@
 	switch {
 	case v.Type == gjson.String:
 		c.Prompt, c.Count = float64(len(v.Str))/rules.BytesPerToken, 1
+		c.Longest = c.Prompt
 		if v.Str == "" {
 			return wrong
 		}
@@ -369,7 +374,7 @@
 	}
 	n, kind := 0, byte(0)
 	v.ForEach(func(_, item gjson.Result) bool {
-		k := byte('?')
+		k, before := byte('?'), c.Prompt
 		switch {
 		case item.Type == gjson.String && item.Str != "":
 			k = 's'
@@ -391,6 +396,7 @@
 				k = 'l'
 			}
 		}
+		c.Longest = max(c.Longest, c.Prompt-before)
 		if n++; n == 1 {
 			kind = k
 		}
@@ -405,7 +411,7 @@
 		return wrong
 	}
 	if c.Count = n; kind == 't' {
-		c.Count = 1
+		c.Count, c.Longest = 1, c.Prompt
 	}
 	return err
 }
@@ -445,7 +451,8 @@
 			err = Invalid("documents", "documents[%d] must be a string or an object with a text", n)
 			return false
 		}
-		c.Prompt += float64(len(query)+len(doc.Str)) / rules.BytesPerToken
+		tokens := float64(len(query)+len(doc.Str)) / rules.BytesPerToken
+		c.Prompt, c.Longest = c.Prompt+tokens, max(c.Longest, tokens)
 		if n++; n > rules.Documents {
 			err = Invalid("documents", "there are more than %d documents", rules.Documents)
 		}
@@ -516,6 +523,19 @@
 	return []byte(v.Raw), int(gjson.GetBytes(body, "usage.prompt_tokens_details.cached_tokens").Int()), true
 }
 
+// PromptTokens is what an answer's usage says that the prompt had; 0 where it says nothing.
+func PromptTokens(body []byte) float64 { return gjson.GetBytes(body, "usage.prompt_tokens").Num }
+
+// TooLong is the error for a request that no engine of a model can take, in OpenAI's form.
+func (c *Call) TooLong(limit, prompt float64) *Error {
+	param := [...]string{"messages", "prompt", "input", "documents"}[c.API]
+	text := fmt.Sprintf("This model's maximum context length is %.0f tokens. However, your %s have about %.0f tokens", limit, param, prompt)
+	if c.Asked > 0 {
+		text += fmt.Sprintf(" and %d are asked for the answer", c.Asked)
+	}
+	return &Error{Status: 400, Message: text + ". Please reduce their length.", Type: "invalid_request_error", Param: param, Code: "context_length_exceeded"}
+}
+
 // Done ends a stream of server-sent events.
 const Done = "data: [DONE]\n\n"
 
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -200,6 +200,7 @@
 			a.finish(control.Failed, 0, false)
 			return
 		}
+		x.p.tokens.Learn(x.call.Prompt, openai.PromptTokens(a.held))
 		x.kv = kv
 		x.holders = append(x.holders, a.e)
 		a.finish(control.ReadDone, uint32(cached), false)
@@ -214,6 +215,9 @@
 			return
 		}
 		x.holders = nil
+		if !x.call.Checked() { // those are long, and their usage comes last
+			x.p.tokens.Learn(x.call.Prompt, openai.PromptTokens(a.held))
+		}
 		x.answer = answer{status: a.status, kind: string(a.kind), body: a.held}
 		a.finish(control.OK, 0, true)
 	case a.status == 429 || a.status == 503:
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -322,6 +322,11 @@
 			Type: "invalid_request_error", Param: "model", Code: "model_not_found"}, "")
 		return
 	}
+	if limit, never := p.room.Never(&p.tokens, call.Longest, float64(call.Asked)); never {
+		r.never++
+		f.refuse(call.TooLong(limit, p.tokens.Tokens(call.Longest)), "")
+		return
+	}
 	class := p.set.Class
 	if f.class != "" {
 		if class = r.cfg.Class(f.class); class < 0 {
@@ -339,13 +344,14 @@
 // take begins a request. From here on it owes one answer.
 func (f *front) take(p *pool, call *openai.Call, class config.Class) {
 	r := f.r
+	scale := p.tokens.Tokens(1)
 	n := class.Whole
 	if call.Stream {
 		n = class.Stream
 	}
 	t := &task{p: p, call: call, class: class, path: f.path, forward: f.forward, tenant: f.tenant, tenantID: tenantID(f.tenant), tokens: call.Prompt,
-		ev: control.Request{Class: n, Tenant: r.cfg.Tenant(f.tenant), Prefix: call.Opening, PrefixLen: call.OpeningLen,
-			PromptLen: call.Prompt, MaxTokens: float64(call.MaxTokens),
+		ev: control.Request{Class: n, Tenant: r.cfg.Tenant(f.tenant), Prefix: call.Opening, PrefixLen: call.OpeningLen * scale,
+			PromptLen: call.Prompt * scale, MaxTokens: float64(call.MaxTokens),
 			Deadline: r.now().Add(max(f.patience(p.cfg.Control.Classes[n])-r.cfg.Limits.AnswerMargin, 0))}}
 	for _, s := range []string{f.session, call.CacheKey, call.User} {
 		if s != "" { // of its tenant alone: others may use the same words
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"martenlock/control"
+	"martenlock/control/size"
 	"martenlock/internal/config"
 	"martenlock/internal/nodes"
 	"martenlock/internal/wheel"
@@ -24,7 +25,9 @@
 	repeats *repeats
 	gate    *gate
 	joins   *joins
-	active  int // requests taken for it and not yet answered
+	room    size.Room     // of one request, at the servers that are listed
+	tokens  size.Estimate // what estimates of prompts are worth
+	active  int           // requests taken for it and not yet answered
 	// revision is that of the model at all ready servers; mixed, that they differ.
 	revision string
 	mixed    bool
@@ -130,13 +133,24 @@
 // fleet tells the module of its servers.
 func (p *pool) fleet(list []nodes.Node) {
 	ev := control.Fleet{Full: true}
-	p.ready, p.revision, p.mixed = 0, "", false
+	p.ready, p.revision, p.mixed, p.room = 0, "", false, size.Room{Context: p.set.Context}
+	unknown := [3]bool{} // a server of the role may hold anything
 	for i := range list {
 		n := &list[i]
 		kind := slices.Index(p.cfg.Kinds, n.Kind) // settings in force before may number them otherwise
 		if n.Pool != p.set.Name || kind < 0 {
 			continue
 		}
+		if memory := p.cfg.Control.KindMemory[kind]; n.State != control.Gone {
+			role := p.cfg.Control.KindRole[kind]
+			unknown[role] = unknown[role] || memory == 0
+			if role != control.Writer {
+				p.room.Read = max(p.room.Read, memory)
+			}
+			if role != control.Reader {
+				p.room.Write = max(p.room.Write, memory)
+			}
+		}
 		if n.State == control.Ready {
 			p.mixed = p.mixed || p.ready > 0 && n.Revision != p.revision
 			p.revision = n.Revision
@@ -145,6 +159,12 @@
 		ev.Servers = append(ev.Servers, control.Server{ID: n.ID, State: n.State, Kind: kind, Weight: n.Weight, Since: p.r.at(n.Start),
 			Zone: number(p.r.zones, n.Zone), Cell: number(p.r.cells, n.Zone+"/"+n.Cell)})
 	}
+	if unknown[control.Reader] || unknown[control.Mixed] {
+		p.room.Read = 0
+	}
+	if unknown[control.Writer] || unknown[control.Mixed] {
+		p.room.Write = 0
+	}
 	p.gate.g.Servers(p.ready)
 	p.joins.j.Servers(p.ready)
 	p.push(ev)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -49,6 +49,7 @@
 	refused  uint64
 	failed   uint64
 	left     uint64
+	never    uint64 // requests that no engine could take
 	started  time.Time
 	small    [16]byte // for chunk sizes
 }
@@ -226,6 +227,7 @@
 	Aborts                        int
 	Hits, Joins                   uint64 // inputs of embeddings answered from the cache, and by another's answer
 	Shared                        uint64 // requests that were answered by a call for several
+	Never                         uint64 // requests that no engine could take
 	GateRefused                   uint64 // large requests that could not end in time
 	Cached                        uint64 // bytes of the cache
 	Unsent                        int    // bytes of the answer that its client has not taken, the most of any
@@ -239,7 +241,7 @@
 	done := make(chan struct{})
 	r.loop.Post(func() {
 		s = Stats{Served: r.served, Refused: r.refused, Failed: r.failed, Left: r.left, Active: r.active, Connections: r.ln.Open(),
-			Timers: r.loop.Timers(), Bytes: r.bytes}
+			Never: r.never, Timers: r.loop.Timers(), Bytes: r.bytes}
 		for _, p := range r.pools {
 			s.Hits += p.repeats.hits
 			s.Joins += p.repeats.joins
--- /dev/null
+++ b/internal/router/size_test.go
@@ -0,0 +1,69 @@
+package router_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// TestNeverRuns: a request that no engine can hold is answered at once in OpenAI's form, and
+// no engine hears of it; one of a size that may fit goes on; what engines say of their
+// prompts narrows the margin.
+func TestNeverRuns(t *testing.T) {
+	w := start(t, append(two(1, 2), embedder("e1")), "models = demo-embed\n", "models = demo-embed\nmax_context = 500\n")
+	chat := func(tokens, answer int) string {
+		max := ""
+		if answer > 0 {
+			max = fmt.Sprintf(`"max_tokens":%d,`, answer)
+		}
+		return `{"model":"demo-chat",` + max + `"messages":[{"role":"user","content":"` + strings.Repeat("ice ", tokens) + `"}]}`
+	}
+	seen := func() (n int) {
+		for _, e := range w.Find("zone:a") {
+			n += e.Stats().Served
+		}
+		return n
+	}
+	tooLong := func(path, body, param string) {
+		t.Helper()
+		before := seen()
+		r := w.post(context.Background(), path, map[bool]string{true: "search", false: "ask"}[strings.Contains(path, "embed")], body)
+		var v struct {
+			Error struct{ Code, Param, Type string }
+		}
+		if err := json.Unmarshal([]byte(r.body), &v); err != nil || r.status != 400 || v.Error.Code != "context_length_exceeded" || v.Error.Param != param || v.Error.Type != "invalid_request_error" || seen() != before {
+			t.Errorf("%.60s: %v; engines saw %d", body, r, seen()-before)
+		}
+	}
+	// The writers hold 60,000 tokens, the reader 200,000.
+	tooLong("/v1/chat/completions", chat(2_000_000, 0), "messages")
+	tooLong("/v1/completions", `{"model":"demo-chat","prompt":"`+strings.Repeat("ice ", 250_000)+`"}`, "prompt")
+	tooLong("/v1/chat/completions", chat(10, 60_001), "messages")
+	tooLong("/v1/embeddings", `{"model":"demo-embed","input":["x","`+strings.Repeat("ice ", 2_100)+`"]}`, "input")
+	if r := w.post(context.Background(), "/v1/embeddings", "search", `{"model":"demo-embed","input":`+inputs(400, strings.Repeat("ice ", 100))+`}`); !r.served() {
+		t.Errorf("many inputs that each fit: %v", r)
+	}
+	if r := w.post(context.Background(), "/v1/chat/completions", "ask", chat(70_000, 5)); !r.served() {
+		t.Errorf("may fit, as far as is known: %v", r)
+	}
+	for range 150 {
+		if r := w.ask(call{}); !r.served() {
+			t.Fatal(r)
+		}
+	}
+	tooLong("/v1/chat/completions", chat(70_000, 5), "messages")
+	if r := w.post(context.Background(), "/v1/chat/completions", "ask", chat(55_000, 5)); !r.served() {
+		t.Errorf("fits: %v", r)
+	}
+	if s, err := w.Service.Router.Stats(); err != nil || s.Never != 5 {
+		t.Errorf("%d were never to run, %v", s.Never, err)
+	}
+	// Nobody is held to be sick: the next ones go on.
+	for range 10 {
+		if r := w.ask(call{stream: true, tokens: 3}); !r.served() {
+			t.Error(r)
+		}
+	}
+}
