--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -448,7 +448,7 @@
 func TestSlowReader(t *testing.T) {
 	list := two(1, 1)
 	list[1].Pace, list[1].Answer = 0, 400_000 // some 80 MB
-	w := start(t, list, "[limits]\n", "[limits]\nclient_stall = 1s\n")
+	w := start(t, list, "[limits]\n", "[limits]\nclient_stall = 1s\n", "memory_tokens = 60000", "memory_tokens = 600000")
 	c, err := net.Dial("tcp", w.Service.Router.Addr())
 	if err != nil {
 		t.Fatal(err)
