Idle connections make room, and max_connections heeds the descriptor limit

4,000 idle connections under ulimit -n 4000 kept all others out until idle ended them. The one idle for longest is closed for the last that fits (control/conns), none at work; max_connections is lowered to three quarters of the descriptors where these are fewer, with a line in the log.

--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -50,7 +50,15 @@
 func (r *Router) accept(c *loop.Conn) loop.Handler {
 	f := &front{r: r, c: c, parser: http1.NewRequests(&r.cfg.Limits.HTTP)}
 	f.timer.Fire = f.timeout
+	if r.ln.Open() >= r.ln.Max { // the last that fits: the one idle for longest makes room
+		if old, ok := r.idle.Victim(); ok {
+			r.made++
+			old.c.Close()
+			old.ended()
+		}
+	}
 	r.fronts[f] = struct{}{}
+	r.idle.Idle(f)
 	r.loop.Start(&f.timer, r.cfg.Limits.Idle)
 	return f
 }
@@ -62,6 +70,7 @@
 	f.r.bytes -= int64(len(f.body))
 	f.body = nil
 	delete(f.r.fronts, f)
+	f.r.idle.Gone(f)
 }
 
 // stop ends an idle connection when the router stops, and marks the others.
@@ -147,6 +156,7 @@
 	for !f.busy() && !f.closing {
 		if !f.begun && total < len(b) {
 			f.begun = true
+			f.r.idle.Busy(f)
 			f.r.loop.Start(&f.timer, f.r.cfg.Limits.Receive)
 		}
 		used, kind, data, err := f.parser.Next(b[total:])
@@ -279,6 +289,7 @@
 		f.ended()
 		return
 	}
+	f.r.idle.Idle(f)
 	f.r.loop.Start(&f.timer, f.r.cfg.Limits.Idle)
 	f.c.Resume()
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,8 +16,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"martenlock/control"
+	"martenlock/control/conns"
 	"martenlock/internal/config"
 	"martenlock/internal/loop"
 	"martenlock/internal/nodes"
@@ -34,6 +36,8 @@
 	retired []*pool // of settings before, which still owe answers
 	engines map[control.ServerID]*engine
 	fronts  map[*front]struct{}
+	idle    conns.Table[*front]
+	made    uint64 // connections that made room for others
 	zones   map[string]uint16
 	cells   map[string]uint16
 
@@ -79,11 +83,32 @@
 	if r.ln, err = l.Listen(cfg.Listen, r.accept); err != nil {
 		return nil, err
 	}
-	r.ln.Max = cfg.MaxConnections
+	r.bound()
 	r.setNodes(list)
 	return r, nil
 }
 
+// bound holds max_connections against the descriptors that this process may have, of which
+// it takes all that it is allowed.
+func (r *Router) bound() {
+	var limit unix.Rlimit
+	r.ln.Max = r.cfg.MaxConnections
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		r.log.Warn().Err(err).Msg("the descriptor limit can't be read")
+		return
+	}
+	if limit.Cur < limit.Max {
+		raised := unix.Rlimit{Cur: limit.Max, Max: limit.Max}
+		if unix.Setrlimit(unix.RLIMIT_NOFILE, &raised) == nil {
+			limit = raised
+		}
+	}
+	if r.ln.Max = conns.Most(r.cfg.MaxConnections, int(min(limit.Cur, 1<<30))); r.ln.Max < r.cfg.MaxConnections {
+		r.log.Warn().Int("max_connections", r.cfg.MaxConnections).Uint64("descriptors", limit.Cur).Int("taken", r.ln.Max).
+			Msg("max_connections is lowered: raise ulimit -n")
+	}
+}
+
 // Addr is where the router listens.
 func (r *Router) Addr() string { return r.ln.Addr().String() }
 
@@ -105,7 +130,7 @@
 		defer close(done)
 		old := r.cfg
 		r.cfg = cfg
-		r.ln.Max = cfg.MaxConnections
+		r.bound()
 		told := func(c *config.Config) []any {
 			return []any{c.Control, c.Kinds, c.Classes, c.Tenants, c.Pools, c.Zone, c.Seed}
 		}
@@ -227,6 +252,7 @@
 	Aborts                        int
 	Hits, Joins                   uint64 // inputs of embeddings answered from the cache, and by another's answer
 	Shared                        uint64 // requests that were answered by a call for several
+	MadeRoom                      uint64 // idle connections that were closed for others
 	Never                         uint64 // requests that no engine could take
 	GateRefused                   uint64 // large requests that could not end in time
 	Cached                        uint64 // bytes of the cache
@@ -241,7 +267,7 @@
 	done := make(chan struct{})
 	r.loop.Post(func() {
 		s = Stats{Served: r.served, Refused: r.refused, Failed: r.failed, Left: r.left, Active: r.active, Connections: r.ln.Open(),
-			Never: r.never, Timers: r.loop.Timers(), Bytes: r.bytes}
+			Never: r.never, MadeRoom: r.made, Timers: r.loop.Timers(), Bytes: r.bytes}
 		for _, p := range r.pools {
 			s.Hits += p.repeats.hits
 			s.Joins += p.repeats.joins
--- a/internal/router/size_test.go
+++ b/internal/router/size_test.go
@@ -1,9 +1,12 @@
 package router_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 )
@@ -67,3 +70,42 @@
 		}
 	}
 }
+
+// TestIdleMakeRoom: with all connections taken by idle ones another caller is served at
+// once, the one idle for longest goes, and none at work is cut.
+func TestIdleMakeRoom(t *testing.T) {
+	w := start(t, two(1, 1), "[router]\n", "[router]\nmax_connections = 20\n")
+	var held []net.Conn
+	dial := func() net.Conn {
+		t.Helper()
+		c, err := net.Dial("tcp", w.Service.Router.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		held = append(held, c)
+		return c
+	}
+	working := dial() // the oldest, half way through a request
+	fmt.Fprint(working, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 91\r\n\r\n")
+	open := func() int { s, _ := w.Service.Router.Stats(); return s.Connections }
+	w.until("it is taken", func() bool { return open() == 1 })
+	for range 18 {
+		dial()
+	}
+	w.until("all but one are taken", func() bool { return open() == 19 })
+	for i := range 40 {
+		c := dial()
+		fmt.Fprint(c, "GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 {
+			t.Fatalf("caller %d: %v", i, err)
+		}
+	}
+	fmt.Fprint(working, `{"model":"demo-chat","max_tokens":1,"messages":[{"role":"user","content":"a frozen pipe"}]}`)
+	if resp, err := http.ReadResponse(bufio.NewReader(working), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("the one at work: %v, %v", resp, err)
+	}
+	if s, err := w.Service.Router.Stats(); err != nil || s.MadeRoom != 40 || s.Connections > 20 {
+		t.Errorf("%d made room, %d open, %v", s.MadeRoom, s.Connections, err)
+	}
+}
