--- a/control/control_test.go
+++ b/control/control_test.go
@@ -696,3 +696,20 @@
 		t.Errorf("two of three attempts lost: %v", acts)
 	}
 }
+
+// TestPromptThatCanNotMakeItsDeadlineIsRefusedAtOnce: though the aim of so long a prompt lies
+// past the deadline.
+func TestPromptThatCanNotMakeItsDeadlineIsRefusedAtOnce(t *testing.T) {
+	set := settings(Reader, Writer)
+	set.Classes[0].AimPer1000 = 200 * ms
+	for _, tokens := range []float64{100_000, 10_000} { // 12 s by what was seen, and 1.3 s
+		s := start(t, set, 0, 1)
+		first := s.sent(s.do(0, s.request(1, 0)))
+		s.do(150*ms, Outcome{ID: 1, Server: first.Server, Result: ReadDone, Took: 150 * ms})
+		q := s.request(2, 0)
+		q.PromptLen = tokens
+		if acts := s.do(0, q); len(only[Refuse](acts)) > 0 != (tokens > 50_000) {
+			t.Errorf("%v tokens: %v", tokens, acts)
+		}
+	}
+}
--- a/control/size/fit_test.go
+++ b/control/size/fit_test.go
@@ -25,6 +25,7 @@
 		}
 	})
 	e := Estimate{}
+	e.Learn(1000, 500) // and then the prompts change
 	for range 300 {
 		e.Learn(1000, 2000)
 	}
