What one client did to another: dense texts, tiny patience, leaving early, many tiny inputs

Read again as a greedy caller. Tiny or dense prompts taught the estimate that all prompts were up to four times longer, so that others' were refused as too long: short ones teach nothing now, and a prompt is too long for sure only by half of its plain estimate or less. Small requests with hardly any patience, and units withdrawn before their end, cut what everyone's large requests may have: both say nothing now. Made-up tenant names multiplied a share: where tenants are configured, unknown ones share one. 2,048 inputs of a byte cost 60 times their body in tables: counted against the bound.

Out of glue into modules: who may go after a lost engine (batch.Suspects), what a pool can hold (size.RoomOf), what a status means (once, in the exchange), waits for another try. Inputs are parsed once a request. One pacer in the place of two.

TestNeverRuns is red here: a first request far above the mean keeps small ones out.

--- a/control/batch/join.go
+++ b/control/batch/join.go
@@ -276,6 +276,40 @@
 	return m.call, true
 }
 
+// RetryLate is when one may come again whose deadline came while it waited for others.
+const RetryLate = time.Second
+
+// Suspects are the members of a call that lost its engine, in the order in which they go.
+type Suspects struct {
+	list []suspect
+	all  bool // the one at fault is found
+}
+
+type suspect struct {
+	id  uint64
+	out bool
+}
+
+// Add puts a member at the end of the line.
+func (s *Suspects) Add(id uint64) { s.list = append(s.list, suspect{id: id}) }
+
+// Next returns who is to go now: the first, or all once the one at fault is found.
+func (s *Suspects) Next() (begin []uint64) {
+	for i := range s.list {
+		if m := &s.list[i]; !m.out && (i == 0 || s.all) {
+			m.out = true
+			begin = append(begin, m.id)
+		}
+	}
+	return begin
+}
+
+// End takes in that a member has its answer or has left; lost, that it lost its engine.
+func (s *Suspects) End(id uint64, lost bool) {
+	s.list = slices.DeleteFunc(s.list, func(m suspect) bool { return m.id == id })
+	s.all = s.all || lost
+}
+
 func (j *Joiner) forget(l *joinLine) {
 	if len(l.waiting) == 0 && l.out == 0 && !l.listed {
 		delete(j.lines, l.key)
--- a/control/batch/join_test.go
+++ b/control/batch/join_test.go
@@ -167,3 +167,37 @@
 		}
 	}
 }
+
+// TestSuspects: none goes beside another before one has lost its engine, each goes once, and
+// those who leave hold nobody up.
+func TestSuspects(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s Suspects
+		n := rapid.IntRange(0, 8).Draw(t, "members")
+		for i := range n {
+			s.Add(uint64(i))
+		}
+		out, over, begun, found := map[uint64]bool{}, map[uint64]bool{}, 0, false
+		for len(over) < n {
+			for _, id := range s.Next() {
+				if out[id] || over[id] {
+					t.Fatalf("%d goes again", id)
+				}
+				out[id] = true
+				begun++
+			}
+			if len(out) == 0 || !found && len(out) > 1 || found && len(out) < n-len(over) {
+				t.Fatalf("%d of %d out, found %v", len(out), n-len(over), found)
+			}
+			id := rapid.Uint64Range(0, uint64(n-1)).Draw(t, "ends")
+			if over[id] {
+				continue
+			}
+			lost := out[id] && rapid.Bool().Draw(t, "lost")
+			found = found || lost
+			s.End(id, lost)
+			delete(out, id)
+			over[id] = true
+		}
+	})
+}
--- a/control/flight/flight.go
+++ b/control/flight/flight.go
@@ -48,6 +48,18 @@
 	Failed // or rejected by an engine: another try of the same would end no better
 )
 
+// Of returns what the end of a call for several inputs is to each of them. Where it was not
+// served any of them may be at fault: the others' followers try theirs alone.
+func Of(served, refused bool, inputs int) Outcome {
+	switch {
+	case served:
+		return Served
+	case refused || inputs > 1:
+		return Refused
+	}
+	return Failed
+}
+
 // May tells whether requests of a class may share one answer: only where running them
 // again, or not at all, is all the same.
 func May(class control.Class) bool { return class.Effect == control.Safe }
--- a/control/size/fit.go
+++ b/control/size/fit.go
@@ -1,6 +1,10 @@
 package size
 
-import "math"
+import (
+	"math"
+
+	"martenlock/control"
+)
 
 // Estimate corrects the tokens that are estimated from a prompt's bytes by what engines say
 // that prompts had. It is for one pool, since languages and vocabularies differ.
@@ -12,12 +16,13 @@
 	wrongBy    = 4.0  // an estimate that nobody has corrected may be off by so many times
 	fitAlpha   = 0.05 // weight of a new sample in the mean
 	leastAlpha = 0.02 // by which the least comes back after a lower one
-	slack      = 0.9  // of the least: the next prompt may have fewer tokens than any before
+	slack      = 0.5  // of the least: the next prompt may have fewer tokens than any before
+	learnFrom  = 200  // tokens; shorter prompts say more of the engine's template than of bytes
 )
 
 // Learn takes in what a prompt of so many estimated tokens had.
 func (e *Estimate) Learn(estimated, actual float64) {
-	if estimated < 1 || actual < 1 {
+	if estimated < learnFrom || actual < 1 {
 		return
 	}
 	r := min(max(actual/estimated, 1/wrongBy), wrongBy)
@@ -41,12 +46,13 @@
 	return estimated * e.mean
 }
 
-// AtLeast returns how many tokens a prompt surely has.
+// AtLeast returns how many tokens a prompt surely has: no more than half of its estimate,
+// whatever others' prompts had. One caller's dense texts must not make another's too long.
 func (e *Estimate) AtLeast(estimated float64) float64 {
 	if e.least == 0 {
 		return estimated / wrongBy
 	}
-	return estimated * e.least * slack
+	return estimated * max(min(e.least, 1)*slack, 1/wrongBy)
 }
 
 // Room is the most that one request may have at the servers of a pool, in tokens; 0 for not
@@ -57,6 +63,32 @@
 	Write   float64 // prompt and answer, of the largest that writes
 }
 
+// Server is what a room may be had at.
+type Server struct {
+	Role   control.Role
+	Memory float64 // tokens; 0 for not known: it may hold anything
+}
+
+// RoomOf returns the room at servers, of a model of so much context (0 for not known).
+func RoomOf(context float64, servers []Server) Room {
+	r := Room{Context: context}
+	largest := func(most *float64, memory float64) {
+		if memory <= 0 {
+			memory = math.Inf(1)
+		}
+		*most = max(*most, memory)
+	}
+	for _, s := range servers {
+		if s.Role != control.Writer {
+			largest(&r.Read, s.Memory)
+		}
+		if s.Role != control.Reader {
+			largest(&r.Write, s.Memory)
+		}
+	}
+	return r
+}
+
 // Limit returns how many tokens of prompt and answer together may be, and of the prompt.
 func (r Room) Limit() (both, prompt float64) {
 	known := func(v float64) float64 {
--- a/control/size/size.go
+++ b/control/size/size.go
@@ -4,9 +4,10 @@
 //
 // The rule: large requests have no more work out than the pool does in Settings.Wait (four
 // times that while no small ones come), and never less than one unit for each server, or as
-// much less as small ones that come late ask for. What they wait for is shared between tenants by tokens; of one tenant the
-// request that was begun comes first, then the smallest. One that can't end before its
-// deadline at the pace that is seen is refused when it arrives, or as soon as it shows.
+// much less as small ones that come late ask for. What they wait for is shared between
+// tenants by tokens; of one tenant the request that was begun comes first, then the
+// smallest. One that can't end before its deadline at the pace that is seen is refused when
+// it arrives, or as soon as it shows.
 //
 // Like control, the package does no I/O, reads no clock and starts no goroutine.
 package size
@@ -45,6 +46,22 @@
 	Deadline control.Time
 }
 
+// Outcome is how a unit ended.
+type Outcome uint8
+
+// The outcomes. What a client withdrew says nothing of the pace.
+const (
+	Served Outcome = iota
+	Lost
+	Withdrawn
+)
+
+// Late is a request that can't end in time; one that comes again is to wait for After.
+type Late struct {
+	ID    ID
+	After time.Duration
+}
+
 const (
 	tick       = 50 * time.Millisecond
 	sampleSpan = 250 * time.Millisecond // over which the pace is seen
@@ -217,7 +234,7 @@
 }
 
 // End takes in the end of a unit that was let go.
-func (g *Gate) End(now control.Time, u Unit, served bool) {
+func (g *Gate) End(now control.Time, u Unit, outcome Outcome) {
 	w := g.wholes[u.ID]
 	if w == nil || u.N < 0 || u.N >= w.next {
 		return
@@ -231,10 +248,13 @@
 	if g.outN--; g.outN == 0 {
 		g.out = 0
 	}
-	if served {
+	w.out--
+	switch outcome {
+	case Served:
 		g.done += tokens
+	case Withdrawn: // clients that leave before the end must not make the pool look slow
+		g.since, g.done, g.queued = now, 0, g.waiting > 0
 	}
-	w.out--
 	g.look(now)
 	g.forget(w)
 }
@@ -281,9 +301,13 @@
 }
 
 // Small takes in how long a small request of the pool took to its first token or whole
-// answer, and its aim; one that was refused took it all.
-func (g *Gate) Small(now control.Time, took, aim time.Duration) {
+// answer, its aim, and its client's patience; one that was refused took all of its aim. What
+// had less patience than aim says nothing: a client could have all large ones held back.
+func (g *Gate) Small(now control.Time, took, aim, patience time.Duration) {
 	g.smallAt = now
+	if patience < aim {
+		return
+	}
 	if float64(took) <= lateShare*float64(aim) {
 		g.yield = min(g.yield+yieldStep, 1)
 	} else if g.outN > 0 && now.Sub(g.cutAt) >= g.set.Wait {
@@ -305,7 +329,7 @@
 
 // Turn says what is let go now, in order, and which requests can't end in time any more:
 // these are withdrawn, and to be ended.
-func (g *Gate) Turn(now control.Time) (let []Unit, late []ID) {
+func (g *Gate) Turn(now control.Time) (let []Unit, late []Late) {
 	g.look(now)
 	if now.Sub(g.checked) >= tick {
 		g.checked = now
@@ -350,21 +374,21 @@
 }
 
 // late withdraws what can't end in time. Those behind it may make it then.
-func (g *Gate) late(now control.Time) (late []ID) {
+func (g *Gate) late(now control.Time) (late []Late) {
 	gone := 0.0
 	for _, t := range slices.Clone(g.turns) {
 		own := 0.0
 		for _, w := range slices.SortedFunc(slices.Values(t.line), func(a, b *whole) int { return order(a, b) }) {
-			if now >= w.Deadline || g.ends(now, t, own+w.left, gone) > w.Deadline {
-				late = append(late, w.ID)
+			if over := g.ends(now, t, own+w.left, gone).Sub(w.Deadline); over > 0 || now >= w.Deadline {
+				late = append(late, Late{w.ID, max(over, tick)})
 				gone += w.left
 			} else {
 				own += w.left
 			}
 		}
 	}
-	for _, id := range late {
-		g.Gone(now, id)
+	for _, l := range late {
+		g.Gone(now, l.ID)
 	}
 	return late
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -308,6 +308,15 @@
 	return slices.IndexFunc(c.Classes, func(k Class) bool { return k.Name == name })
 }
 
+// Sharer returns under which name a tenant shares what is shared between tenants: its own,
+// or, where the settings name tenants, one for all whom they don't: a client can make up names.
+func (c *Config) Sharer(name string) string {
+	if len(c.Tenants) > 0 && !slices.Contains(c.Tenants, name) {
+		return ""
+	}
+	return name
+}
+
 // Tenant returns the position of a tenant; those that nobody named are the first.
 func (c *Config) Tenant(name string) int {
 	return max(slices.Index(c.Tenants, name), 0)
--- a/internal/openai/join.go
+++ b/internal/openai/join.go
@@ -9,29 +9,6 @@
 	"github.com/tidwall/gjson"
 )
 
-// Inputs returns an embeddings call's inputs as they stand and the tokens of each, also
-// where there is one alone, and tells whether they are lists of tokens: engines take no
-// mixture of both.
-func (c *Call) Inputs(rules Rules) (raw [][]byte, tokens []float64, lists bool) {
-	if c.API != Embeddings {
-		return nil, nil, false
-	}
-	list := c.members[c.listMember()].value
-	if c.Count > 1 {
-		raw, tokens = c.Items(rules)
-		return raw, tokens, raw[0][0] == '['
-	}
-	if v := gjson.ParseBytes(list); v.IsArray() {
-		if first := v.Get("0"); first.Type == gjson.Number {
-			return [][]byte{list}, []float64{c.Prompt}, true
-		} else { // a list of one
-			item := list[first.Index : first.Index+len(first.Raw)]
-			return [][]byte{item}, []float64{c.Prompt}, item[0] == '['
-		}
-	}
-	return [][]byte{list}, []float64{c.Prompt}, false
-}
-
 // Form adds all but the inputs that decides an embeddings call's answer: calls of one form
 // may be computed together.
 func (c *Call) Form(h io.Writer) {
--- a/internal/openai/parts.go
+++ b/internal/openai/parts.go
@@ -24,11 +24,19 @@
 }
 
 // Items returns a call's inputs or documents as they stand and the tokens of each. A
-// document costs its query too. It returns nil where there is one alone.
+// document costs its query too. An input alone may stand for itself or in a list.
 func (c *Call) Items(rules Rules) (raw [][]byte, tokens []float64) {
-	if c.Count < 2 || !c.Checked() {
+	if !c.Checked() {
 		return nil, nil
 	}
+	if m := c.members[c.listMember()].value; c.API == Embeddings && c.Count == 1 {
+		if v := gjson.ParseBytes(m); v.IsArray() {
+			if first := v.Get("0"); first.Type != gjson.Number {
+				m = m[first.Index : first.Index+len(first.Raw)]
+			}
+		}
+		return [][]byte{m}, []float64{c.Prompt}
+	}
 	query := 0.0
 	if i := slices.IndexFunc(c.members, func(m member) bool { return m.name == "query" }); i >= 0 {
 		query = float64(len(c.members[i].value)) / rules.BytesPerToken
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -5,9 +5,10 @@
 	"time"
 
 	"martenlock/control"
-	"martenlock/internal/config"
+	"martenlock/control/batch"
 	"martenlock/internal/http1"
 	"martenlock/internal/openai"
+	"martenlock/internal/wheel"
 )
 
 // client waits for the answer of some work: a connection of a protocol, or work of
@@ -29,6 +30,7 @@
 
 // answer is a whole answer.
 type answer struct {
+	outcome          batch.Outcome
 	status           int
 	kind, id, fields string // content type, id under which engines know the request, header lines
 	body             []byte
@@ -36,7 +38,7 @@
 	tried, lost      int           // attempts, and those that ended with their connection
 }
 
-// whole is embedded by clients whose answers are checked, and so come whole.
+// wholeOnly is embedded by clients whose answers are checked, and so come whole.
 type wholeOnly struct{}
 
 func (wholeOnly) begin(int, string, string, int64) {}
@@ -63,14 +65,51 @@
 type task struct {
 	p        *pool
 	call     *openai.Call
-	class    config.Class
 	ev       control.Request // without its id
 	path     string
 	forward  []byte // header fields that engines get
 	tenant   string
-	tokens   float64 // of the whole request of which this is some
-	tenantID uint64
-	mark     string // which part of its client's request it is; "" for all
+	tokens   float64 // estimated, of the whole request
+	patience time.Duration
+	sharer   uint64    // whose share of the gate it takes
+	items    [][]byte  // its inputs or documents; nil for one alone that is no embedding
+	weights  []float64 // tokens of each
+	mark     string    // which part of its client's request it is; "" for all
+}
+
+const itemCost = 300 // bytes kept for each item of a request beside its body: tables, places, runs
+
+// books is what keeping a task costs beside its body: many tiny items take more than they say.
+func (t *task) books() int64 { return int64(t.call.Count) * itemCost }
+
+// pacer asks a module at the end of the turn, and when it wants to be asked again.
+type pacer struct {
+	p      *pool
+	turn   func()
+	next   func() (control.Time, bool)
+	timer  wheel.Timer
+	kicked bool
+}
+
+func newPacer(p *pool, turn func(), next func() (control.Time, bool)) *pacer {
+	c := &pacer{p: p, turn: turn, next: next}
+	c.timer.Fire = func() { c.turn(); c.arm() }
+	return c
+}
+
+func (c *pacer) kick() {
+	if !c.kicked {
+		c.kicked = true
+		c.p.later(func() { c.kicked = false; c.timer.Fire() })
+	}
+}
+
+func (c *pacer) arm() {
+	if at, ok := c.next(); ok {
+		c.p.r.loop.Start(&c.timer, at.Sub(c.p.r.now()))
+	} else {
+		c.p.r.loop.Stop(&c.timer)
+	}
 }
 
 // run begins a task. It answers no sooner than in a later turn.
@@ -86,6 +125,14 @@
 	return t.single(cl, t.p.r.nextName())
 }
 
+// inputs returns the items of a task and their tokens, which it keeps.
+func (t *task) inputs() ([][]byte, []float64) {
+	if t.items == nil {
+		t.items, t.weights = t.call.Items(t.p.r.cfg.Request.OpenAI)
+	}
+	return t.items, t.weights
+}
+
 // single begins a task that goes to engines as it is.
 func (t *task) single(cl client, name string) *exchange {
 	p := t.p
@@ -99,7 +146,7 @@
 	return x
 }
 
-// class is the module's class of a task.
+// control is the module's class of a task.
 func (t *task) control() *control.Class { return &t.p.cfg.Control.Classes[t.ev.Class] }
 
 // later runs a function at the end of the turn.
@@ -108,22 +155,22 @@
 // The HTTP/1.1 side of client.
 
 func (f *front) reply(a answer) {
-	f.answered(a.status)
+	f.answered(a.outcome)
 	f.write(a.status, a.kind, a.id, a.fields, a.body)
 	f.next()
 }
 
 // answered counts the answer of a request that was taken, and lets go of its work.
-func (f *front) answered(status int) {
-	switch r := f.r; status {
-	case 429, 503:
+func (f *front) answered(outcome batch.Outcome) {
+	switch r := f.r; outcome {
+	case batch.Refused:
 		r.refused++
-	case 502, 504:
+	case batch.Failed:
 		r.failed++
 	default:
 		r.served++
 	}
-	f.small(status)
+	f.small(outcome)
 	f.taken()
 }
 
@@ -131,13 +178,14 @@
 func (f *front) taken() {
 	f.job = nil
 	f.r.active--
+	f.r.bytes -= f.task.books()
 	f.task.p.active--
 	f.task.p.done()
 	f.task = nil
 }
 
 // small tells the gate how a small request fared.
-func (f *front) small(status int) {
+func (f *front) small(outcome batch.Outcome) {
 	t := f.task
 	if f.heard || t.p.gate.g.Large(t.tokens) {
 		return
@@ -146,14 +194,14 @@
 	class := t.control()
 	aim := class.Aim + time.Duration(float64(class.AimPer1000)*t.ev.PromptLen/1000)
 	took := t.p.r.now().Sub(f.since)
-	if status == 429 || status == 503 {
+	if outcome == batch.Refused {
 		took = max(took, aim)
 	}
-	t.p.gate.g.Small(t.p.r.now(), took, aim)
+	t.p.gate.g.Small(t.p.r.now(), took, aim, t.patience)
 }
 
 func (f *front) begin(status int, kind, id string, length int64) {
-	f.small(status)
+	f.small(batch.Served)
 	f.chunked = length < 0 && f.minor == 1
 	out := f.responseHead(status, kind, id, length < 0 && !f.chunked)
 	switch {
@@ -188,7 +236,7 @@
 	if f.chunked {
 		f.c.Write([]byte(http1.LastChunk))
 	}
-	f.answered(200)
+	f.answered(batch.Served)
 	f.next()
 }
 
@@ -204,7 +252,7 @@
 	} else { // a length that is not reached, or a close that would be taken for the end
 		f.c.Reset()
 	}
-	f.answered(502)
+	f.answered(batch.Failed)
 	f.ended()
 }
 
@@ -213,12 +261,12 @@
 // refusal and failure are the final answers that the router gives itself.
 func refusal(id string, status int, code, text string, after time.Duration) answer {
 	err := openai.Error{Status: status, Message: text, Type: "server_error", Code: code}
-	return answer{status: status, kind: "application/json", id: id, fields: retryFields(after), body: err.Append(nil), after: after}
+	return answer{outcome: batch.Refused, status: status, kind: "application/json", id: id, fields: retryFields(after), body: err.Append(nil), after: after}
 }
 
 func failure(id string, status int, text string) answer {
 	err := openai.Error{Status: status, Message: text, Type: "server_error", Code: "engine_failed"}
-	return answer{status: status, kind: "application/json", id: id, fields: "x-should-retry: false\r\n", body: err.Append(nil)}
+	return answer{outcome: batch.Failed, status: status, kind: "application/json", id: id, fields: "x-should-retry: false\r\n", body: err.Append(nil)}
 }
 
 // overloaded is a refusal before anything was done.
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -141,6 +141,10 @@
 		}
 		return
 	}
+	if x.call.Checked() { // the limit on answers was lowered since its connection was made
+		a.finish(control.Failed, 0, false)
+		return
+	}
 	// From here on the answer belongs to the client: nothing can be repeated.
 	a.begin(a.length)
 	held := a.held
@@ -218,7 +222,7 @@
 		if !x.call.Checked() { // those are long, and their usage comes last
 			x.p.tokens.Learn(x.call.Prompt, openai.PromptTokens(a.held))
 		}
-		x.answer = answer{status: a.status, kind: string(a.kind), body: a.held}
+		x.answer = answer{outcome: batch.Served, status: a.status, kind: string(a.kind), body: a.held}
 		a.finish(control.OK, 0, true)
 	case a.status == 429 || a.status == 503:
 		a.finish(control.Full, 0, false)
@@ -227,7 +231,7 @@
 	case a.status >= 500 || a.status == 408 || a.status < 400:
 		a.finish(control.Failed, 0, false)
 	default: // the engine finds fault with the request: another one would too
-		x.answer = answer{status: a.status, kind: string(a.kind), body: a.held}
+		x.answer = answer{outcome: batch.Rejected, status: a.status, kind: string(a.kind), body: a.held}
 		a.finish(control.OK, 0, true)
 	}
 }
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -349,6 +349,10 @@
 		f.refuse(&openai.Error{Status: 503, Message: "The router takes no more requests now.", Type: "server_error", Code: "router_full"}, retryFields(time.Second))
 		return
 	}
+	if r.bytes+int64(call.Count)*itemCost > maxBytes {
+		f.refuse(&openai.Error{Status: 503, Message: "Too many large requests at once.", Type: "server_error"}, retryFields(time.Second))
+		return
+	}
 	f.take(p, call, r.cfg.Classes[class])
 }
 
@@ -360,10 +364,12 @@
 	if call.Stream {
 		n = class.Stream
 	}
-	t := &task{p: p, call: call, class: class, path: f.path, forward: f.forward, tenant: f.tenant, tenantID: tenantID(f.tenant), tokens: call.Prompt,
+	t := &task{p: p, call: call, path: f.path, forward: f.forward, tenant: f.tenant, tokens: call.Prompt,
+		patience: f.patience(p.cfg.Control.Classes[n]), sharer: xxhash.Sum64String(r.cfg.Sharer(f.tenant)),
 		ev: control.Request{Class: n, Tenant: r.cfg.Tenant(f.tenant), Prefix: call.Opening, PrefixLen: call.OpeningLen * scale,
 			PromptLen: call.Prompt * scale, MaxTokens: float64(call.MaxTokens),
-			Deadline: r.now().Add(max(f.patience(p.cfg.Control.Classes[n])-r.cfg.Limits.AnswerMargin, 0))}}
+		}}
+	t.ev.Deadline = r.now().Add(max(t.patience-r.cfg.Limits.AnswerMargin, 0))
 	for _, s := range []string{f.session, call.CacheKey, call.User} {
 		if s != "" { // of its tenant alone: others may use the same words
 			t.ev.Session = xxhash.Sum64String(f.tenant + "\x00" + s)
@@ -373,6 +379,7 @@
 	f.forward = nil
 	f.task, f.job, f.since, f.heard = t, none{}, r.now(), false
 	r.active++
+	r.bytes += t.books()
 	p.active++
 	w := t.repeated(f)
 	if w == nil {
--- a/internal/router/join.go
+++ b/internal/router/join.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
-	"slices"
 	"strings"
-	"time"
 
 	"martenlock/control"
 	"martenlock/control/batch"
@@ -27,37 +25,37 @@
 	timer  wheel.Timer
 }
 
-// suspects are the members of a call that lost its engine. They go one by one.
+// suspects are the members of a call that lost its engine: package batch says who goes when.
 type suspects struct {
-	list []*member // those that have not ended; the first is out
-	call answer    // what the call had come to
-	all  bool      // the one at fault is found: all are out
+	line    batch.Suspects
+	members map[uint64]*member
+	call    answer // what the call had come to
 }
 
-// next begins the one whose turn it is.
+// next begins those whose turn it is.
 func (l *suspects) next() {
-	for i, m := range l.list {
-		if m.alone == nil && (i == 0 || l.all) {
-			m.t.p.r.loop.Stop(&m.timer)
-			m.single(m, l.call)
-		}
+	for _, id := range l.line.Next() {
+		m := l.members[id]
+		m.t.p.r.loop.Stop(&m.timer)
+		m.single(m, l.call)
 	}
 }
 
-// gone takes a member out of the line.
-func (l *suspects) gone(m *member) {
+// end takes a member out of the line.
+func (l *suspects) end(m *member, lost bool) {
 	m.t.p.r.loop.Stop(&m.timer)
-	l.list = slices.DeleteFunc(l.list, func(o *member) bool { return o == m })
+	delete(l.members, m.id)
+	l.line.End(m.id, lost)
 	l.next()
 }
 
 // wait has a member wait in the line, until its deadline at most.
 func (l *suspects) wait(m *member) {
-	l.list = append(l.list, m)
-	m.line = l
+	l.line.Add(m.id)
+	l.members[m.id], m.line = m, l
 	m.timer.Fire = func() {
-		l.gone(m)
-		m.cl.reply(overloaded(m.t.p.r.nextName(), time.Second))
+		l.end(m, false)
+		m.cl.reply(overloaded(m.t.p.r.nextName(), batch.RetryLate))
 	}
 	m.t.p.r.loop.Start(&m.timer, max(m.t.ev.Deadline.Sub(m.t.p.r.now()), 0))
 }
@@ -71,9 +69,7 @@
 
 // reply takes the answer of a suspect.
 func (m *member) reply(a answer) {
-	l := m.line
-	l.all = l.all || a.lost > 0
-	l.gone(m)
+	m.line.end(m, a.lost > 0)
 	m.cl.reply(a)
 }
 
@@ -97,16 +93,15 @@
 	members map[uint64]*member
 	calls   map[uint64]*joined
 	ids     uint64
-	timer   wheel.Timer
-	kicked  bool
 	shared  uint64 // requests that were answered in company
+	*pacer
 }
 
 func newJoins(p *pool) *joins {
 	set := p.set.Join
 	set.Routers = p.cfg.Control.Routers
 	s := &joins{p: p, j: batch.NewJoiner(set), members: map[uint64]*member{}, calls: map[uint64]*joined{}}
-	s.timer.Fire = s.turn
+	s.pacer = newPacer(p, s.turn, s.j.Next)
 	return s
 }
 
@@ -125,14 +120,10 @@
 		return nil
 	}
 	m := &member{t: t, cl: cl}
-	lists := false
-	m.items, m.tokens, lists = t.call.Inputs(t.p.r.cfg.Request.OpenAI)
+	m.items, m.tokens = t.inputs()
 	h := sha256.New()
-	kind := byte('s')
-	if lists {
-		kind = 'l'
-	}
-	h.Write([]byte{kind, byte(t.ev.Class), byte(t.ev.Class >> 8)})
+	// Engines take no mixture of texts and lists of tokens.
+	h.Write([]byte{m.items[0][0], byte(t.ev.Class), byte(t.ev.Class >> 8)})
 	h.Write([]byte(t.path + "\x00" + t.tenant + "\x00"))
 	t.call.Form(h)
 	var key batch.Key
@@ -152,7 +143,7 @@
 		m.alone.leave()
 	}
 	if m.line != nil {
-		m.line.gone(m)
+		m.line.end(m, false)
 	}
 	if m.alone != nil || m.line != nil {
 		return
@@ -169,29 +160,17 @@
 
 func (m *member) drained() {}
 
-func (s *joins) kick() {
-	if !s.kicked {
-		s.kicked = true
-		s.p.later(func() { s.kicked = false; s.turn() })
-	}
-}
-
 func (s *joins) turn() {
 	send, late := s.j.Turn(s.p.r.now())
 	for _, id := range late {
 		if m := s.members[id]; m != nil {
 			delete(s.members, id)
-			m.cl.reply(overloaded(s.p.r.nextName(), time.Second))
+			m.cl.reply(overloaded(s.p.r.nextName(), batch.RetryLate))
 		}
 	}
 	for _, c := range send {
 		s.send(c)
 	}
-	if at, ok := s.j.Next(); ok {
-		s.p.r.loop.Start(&s.timer, at.Sub(s.p.r.now()))
-	} else {
-		s.p.r.loop.Stop(&s.timer)
-	}
 }
 
 // send hands a call to the decision module.
@@ -265,22 +244,13 @@
 	s := g.j
 	p := s.p
 	delete(s.calls, g.id)
-	outcome := batch.Rejected
-	switch a.status {
-	case 200:
-		outcome = batch.Served
-	case 429, 503:
-		outcome = batch.Refused
-	case 502, 504:
-		outcome = batch.Failed
-	}
 	list := s.members
-	ids, then := s.j.End(p.r.now(), g.id, outcome, a.tried, a.lost, g.most)
-	line := &suspects{call: a}
+	ids, then := s.j.End(p.r.now(), g.id, a.outcome, a.tried, a.lost, g.most)
+	line := &suspects{members: map[uint64]*member{}, call: a}
 	s.kick()
 	var pieces []openai.Piece
 	var usage []int64
-	if g.many && outcome == batch.Served {
+	if g.many && a.outcome == batch.Served {
 		pieces, usage = g.call.Pieces(a.body, g.tokens)
 	}
 	for _, id := range ids {
@@ -298,7 +268,7 @@
 			for _, n := range usage[from:to] {
 				own += n
 			}
-			m.cl.reply(answer{status: 200, kind: a.kind, id: a.id, body: openai.Assemble(a.body, pieces[from:to], own)})
+			m.cl.reply(answer{outcome: batch.Served, status: 200, kind: a.kind, id: a.id, body: openai.Assemble(a.body, pieces[from:to], own)})
 		default:
 			m.cl.reply(a)
 		}
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
+	"martenlock/control"
 	"martenlock/control/batch"
 	"martenlock/control/size"
-	"martenlock/internal/wheel"
 )
 
 // whole is a request that is out in parts, or a large one that waits at the pool's gate.
@@ -39,7 +39,7 @@
 // gate; nil where it is neither.
 func (t *task) split(cl client) work {
 	p := t.p
-	items, tokens := t.call.Items(p.r.cfg.Request.OpenAI)
+	items, tokens := t.inputs()
 	plan := batch.Plan(tokens, p.set.Part)
 	large := p.gate.g.Large(t.tokens)
 	if len(plan) < 2 && !large {
@@ -95,12 +95,12 @@
 }
 
 // ended books that a part is out no more.
-func (pt *part) ended(served bool) {
+func (pt *part) ended(outcome size.Outcome) {
 	w := pt.w
 	pt.x = nil
 	w.t.p.r.bytes -= pt.size
 	if w.id != 0 {
-		w.t.p.gate.g.End(w.t.p.r.now(), size.Unit{ID: w.id, N: pt.i}, served)
+		w.t.p.gate.g.End(w.t.p.r.now(), size.Unit{ID: w.id, N: pt.i}, outcome)
 		w.t.p.gate.kick()
 	}
 }
@@ -108,30 +108,25 @@
 // reply takes a part's answer.
 func (pt *part) reply(a answer) {
 	w := pt.w
-	outcome := batch.Rejected
-	switch a.status {
-	case 200:
-		outcome = batch.Served
+	ended := size.Lost
+	if a.outcome == batch.Served {
+		ended = size.Served
 		w.bodies[pt.i] = a.body
 		w.t.p.r.bytes += int64(len(a.body))
-	case 429, 503:
-		outcome = batch.Refused
-	case 502, 504:
-		outcome = batch.Failed
 	}
-	pt.ended(outcome == batch.Served)
-	w.end(pt.i, outcome, a)
+	pt.ended(ended)
+	w.end(pt.i, a)
 }
 
 // end takes in what became of a part.
-func (w *whole) end(i int, outcome batch.Outcome, a answer) {
+func (w *whole) end(i int, a answer) {
 	most := w.t.p.cfg.Control.MaxRetryAfter
-	switch w.batch.End(i, outcome) {
+	switch w.batch.End(i, a.outcome) {
 	case batch.Wait:
 		return
 	case batch.Answer:
 		if w.items != nil {
-			a = answer{status: 200, kind: a.kind, body: w.t.call.Merge(w.plan, w.bodies)}
+			a = answer{outcome: batch.Served, status: 200, kind: a.kind, body: w.t.call.Merge(w.plan, w.bodies)}
 		}
 	case batch.Reject:
 	case batch.Refuse:
@@ -141,7 +136,7 @@
 		}
 		a.after, a.fields = after, retryFields(after)
 	case batch.Fail:
-		if outcome == batch.Refused { // that part did not run, but others may have
+		if a.outcome == batch.Refused { // that part did not run, but others may have
 			a = failure("", 502, "Part of the request was not served; the rest may have run.")
 		}
 	}
@@ -156,7 +151,7 @@
 	for _, i := range w.batch.Out() {
 		if pt := w.parts[i]; pt != nil && pt.x != nil {
 			x := pt.x
-			pt.ended(false)
+			pt.ended(size.Withdrawn)
 			x.leave()
 		}
 	}
@@ -183,15 +178,14 @@
 	g       *size.Gate
 	wholes  map[size.ID]*whole
 	ids     size.ID
-	timer   wheel.Timer
-	kicked  bool
 	refused uint64 // by the gate
+	*pacer
 }
 
 func newGate(p *pool) *gate {
 	g := &gate{p: p, wholes: map[size.ID]*whole{},
 		g: size.New(size.Settings{Large: p.set.Large, Wait: p.set.LargeWait, Routers: p.cfg.Control.Routers})}
-	g.timer.Fire = g.turn
+	g.pacer = newPacer(p, g.turn, func() (control.Time, bool) { return g.g.Next(p.r.now()) })
 	return g
 }
 
@@ -203,7 +197,7 @@
 	}
 	w.id = g.ids
 	g.wholes[w.id] = w
-	after, ok := g.g.Arrive(g.p.r.now(), size.Request{ID: w.id, Tenant: w.t.tenantID, Units: units, Deadline: w.t.ev.Deadline})
+	after, ok := g.g.Arrive(g.p.r.now(), size.Request{ID: w.id, Tenant: w.t.sharer, Units: units, Deadline: w.t.ev.Deadline})
 	if !ok {
 		g.p.later(func() { g.refuse(w, after) })
 		return
@@ -219,7 +213,7 @@
 	g.refused++
 	for i, pt := range w.parts {
 		if pt == nil {
-			w.end(i, batch.Refused, overloaded("", after))
+			w.end(i, overloaded("", after))
 			return
 		}
 	}
@@ -231,19 +225,11 @@
 	g.kick()
 }
 
-// kick asks the gate at the end of the turn.
-func (g *gate) kick() {
-	if !g.kicked {
-		g.kicked = true
-		g.p.later(func() { g.kicked = false; g.turn() })
-	}
-}
-
 func (g *gate) turn() {
 	let, late := g.g.Turn(g.p.r.now())
-	for _, id := range late {
-		if w := g.wholes[id]; w != nil {
-			g.refuse(w, g.p.cfg.Control.MaxRetryAfter/2)
+	for _, l := range late {
+		if w := g.wholes[l.ID]; w != nil {
+			g.refuse(w, l.After)
 		}
 	}
 	for _, u := range let {
@@ -251,9 +237,4 @@
 			w.start(u.N)
 		}
 	}
-	if at, ok := g.g.Next(g.p.r.now()); ok {
-		g.p.r.loop.Start(&g.timer, at.Sub(g.p.r.now()))
-	} else {
-		g.p.r.loop.Stop(&g.timer)
-	}
 }
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -133,23 +133,16 @@
 // fleet tells the module of its servers.
 func (p *pool) fleet(list []nodes.Node) {
 	ev := control.Fleet{Full: true}
-	p.ready, p.revision, p.mixed, p.room = 0, "", false, size.Room{Context: p.set.Context}
-	unknown := [3]bool{} // a server of the role may hold anything
+	p.ready, p.revision, p.mixed = 0, "", false
+	var servers []size.Server
 	for i := range list {
 		n := &list[i]
 		kind := slices.Index(p.cfg.Kinds, n.Kind) // settings in force before may number them otherwise
 		if n.Pool != p.set.Name || kind < 0 {
 			continue
 		}
-		if memory := p.cfg.Control.KindMemory[kind]; n.State != control.Gone {
-			role := p.cfg.Control.KindRole[kind]
-			unknown[role] = unknown[role] || memory == 0
-			if role != control.Writer {
-				p.room.Read = max(p.room.Read, memory)
-			}
-			if role != control.Reader {
-				p.room.Write = max(p.room.Write, memory)
-			}
+		if n.State != control.Gone {
+			servers = append(servers, size.Server{Role: p.cfg.Control.KindRole[kind], Memory: p.cfg.Control.KindMemory[kind]})
 		}
 		if n.State == control.Ready {
 			p.mixed = p.mixed || p.ready > 0 && n.Revision != p.revision
@@ -159,12 +152,7 @@
 		ev.Servers = append(ev.Servers, control.Server{ID: n.ID, State: n.State, Kind: kind, Weight: n.Weight, Since: p.r.at(n.Start),
 			Zone: number(p.r.zones, n.Zone), Cell: number(p.r.cells, n.Zone+"/"+n.Cell)})
 	}
-	if unknown[control.Reader] || unknown[control.Mixed] {
-		p.room.Read = 0
-	}
-	if unknown[control.Writer] || unknown[control.Mixed] {
-		p.room.Write = 0
-	}
+	p.room = size.RoomOf(p.set.Context, servers)
 	p.gate.g.Servers(p.ready)
 	p.joins.j.Servers(p.ready)
 	p.push(ev)
