--- a/internal/router/join.go
+++ b/internal/router/join.go
@@ -158,7 +158,8 @@
 	}
 }
 
-func (m *member) drained() {}
+func (m *member) drained()    {}
+func (m *member) begun() bool { return false }
 
 func (s *joins) turn() {
 	send, late := s.j.Turn(s.p.r.now())
--- a/internal/router/repeats.go
+++ b/internal/router/repeats.go
@@ -361,7 +361,8 @@
 	s.arm()
 	lead(next)
 }
-func (a *assembly) drained() {}
+func (a *assembly) drained()    {}
+func (a *assembly) begun() bool { return false }
 
 // lead has inputs computed by those who waited for another to do it.
 func lead(list []place) {
