--- a/control/api.go
+++ b/control/api.go
@@ -130,7 +130,6 @@
 	MaxTokens float64 // longest answer
 	Deadline  Time    // the client leaves then
 	Resumed   bool    // a broken stream that comes back
-	Large     bool    // far longer to read than others: who reads it has no place for them meanwhile
 	Tried     int     // attempts that it had as one of a joined call; its class allows so many fewer
 	Lost      int     // and how many of them ended with their connection
 }
--- a/control/control.go
+++ b/control/control.go
@@ -103,7 +103,6 @@
 	capacity     float64    // annotated memory in tokens; 0 if none
 	out          []*request // our attempts there
 	tokens       float64    // memory that those answers need
-	long         float64    // how many of those that it reads are large
 	share, score float64    // what it takes of all reads; its place in the order of the prefix in hand
 
 	pace                 float64 // its better times: a read's a token, or an answer's over the mean of its class
@@ -376,22 +375,17 @@
 		return last
 	}
 	key := cmp.Or(q.Prefix, q.Session)
-	var homes, fit []*server
+	var homes []*server
 	for _, s := range r.ready {
 		if s.role != Writer && r.usable(s, q) {
-			if s.score = rank(key, s.ID, s.share); fits(s) {
-				fit = append(fit, s)
-			} else {
+			if s.score = rank(key, s.ID, s.share); !fits(s) {
 				s.score *= minWeight // behind the others
 			}
 			homes = append(homes, s)
 		}
 	}
-	if len(fit) == 0 {
-		fit = homes
-	}
-	if key == 0 && len(fit) > 0 { // nothing binds it to any: as for writers
-		return r.lessLoaded(fit)
+	if key == 0 && len(homes) > 0 { // nothing binds it to any: as for writers
+		return r.lessLoaded(homes)
 	}
 	slices.SortFunc(homes, func(a, b *server) int { return cmp.Compare(b.score, a.score) })
 	popular := r.prefixes[q.Prefix] / (r.seen + othersSeen)
@@ -520,9 +514,6 @@
 }
 
 func (r *Router) book(s *server, q *request, n float64) {
-	if q.Large && s.role != Writer {
-		s.long += n
-	}
 	if s.role == Reader {
 		r.reads += n
 		return
@@ -687,7 +678,7 @@
 }
 
 func (s *server) aside() bool   { return s.ill > illAt }
-func (s *server) load() float64 { return (float64(len(s.out)) + fewReads*s.long) / s.Weight }
+func (s *server) load() float64 { return float64(len(s.out)) / s.Weight }
 
 // judge books an outcome to its server's health.
 func (r *Router) judge(q *request, s *server, ev Outcome) {
@@ -752,7 +743,7 @@
 	list := []float64{}
 	for _, s := range r.ready {
 		if s.role == role && !s.aside() {
-			list = append(list, float64(len(s.out))/s.Weight)
+			list = append(list, s.load())
 		}
 	}
 	slices.Sort(list)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -713,35 +713,3 @@
 		}
 	}
 }
-
-// TestLargeReadKeepsOthersAway: small requests go past a reader that reads a large one, also
-// those of its own session or prefix, until all readers do; and come back after it.
-func TestLargeReadKeepsOthersAway(t *testing.T) {
-	for _, kind := range []Role{Reader, Mixed} {
-		s := start(t, settings(Reader, Writer, Mixed), int(kind), int(kind), 1, 1)
-		small := func(id RequestID) ServerID {
-			q := s.request(id, 0)
-			q.Session, q.Prefix, q.PrefixLen = 7, 9, 10
-			return s.sent(s.do(ms, q)).Server
-		}
-		home := small(1)
-		s.do(ms, Outcome{ID: 1, Server: home, Result: OK, Took: ms, Final: true})
-		large := func(id RequestID) ServerID {
-			q := s.request(id, 0)
-			q.Session, q.Prefix, q.PrefixLen, q.Large = 7, 9, 10, true
-			return s.sent(s.do(ms, q)).Server
-		}
-		if at := large(2); at != home {
-			t.Fatalf("kind %d: the large one went to %d, its session's is %d", kind, at, home)
-		}
-		for id := RequestID(3); id < 6; id++ {
-			if at := small(id); at == home {
-				t.Errorf("kind %d: request %d stands behind the large one", kind, id)
-			}
-		}
-		s.do(ms, Outcome{ID: 2, Server: home, Result: OK, Took: time.Second, Final: true})
-		if s.r.servers[home].long != 0 {
-			t.Errorf("kind %d: it still counts", kind)
-		}
-	}
-}
--- a/control/size/size.go
+++ b/control/size/size.go
@@ -4,8 +4,7 @@
 //
 // The rule: large requests have no more work out than the pool does in Settings.Wait (four
 // times that while no small ones come), and never less than one unit for each server, or as
-// much less as small ones that come late ask for. Where units take so long that a small request
-// behind one is late, they get no more than half the servers while small ones come. What they wait for is shared between
+// much less as small ones that come late ask for. What they wait for is shared between
 // tenants by tokens; of one tenant the request that was begun comes first, then the
 // smallest. One that can't end before its deadline at the pace that is seen is refused when
 // it arrives, or as soon as it shows.
@@ -70,7 +69,6 @@
 	paceAge    = 2 * time.Second        // without news the pace is taken to be ever better
 	paceAlpha  = 0.3
 	unitAlpha  = 0.1
-	longUnit   = 2.0  // times Wait: a unit that takes longer makes small ones behind it late
 	lateShare  = 0.5  // of its aim: a small request that took longer was kept waiting
 	yieldCut   = 0.7  // of what the large may have, each time that small ones were
 	yieldLeast = 0.05 // then one unit at a time, mostly
@@ -78,8 +76,7 @@
 	yieldBack  = 0.25 // and each second
 	alone      = 4.0  // times Wait while no small request has come for aloneFor
 	aloneFor   = time.Second
-	longAlone  = 5 * time.Second // and for so long before long units get all servers
-	mostIdle   = 1024            // tenants that are remembered, about
+	mostIdle   = 1024 // tenants that are remembered, about
 )
 
 type whole struct {
@@ -89,9 +86,8 @@
 	next   int // unit
 	out    int // units
 	left   float64
-	pos    int            // in its tenant's heap; -1 outside
-	gone   bool           // what waited is not wanted any more
-	let    []control.Time // when each unit was let go
+	pos    int  // in its tenant's heap; -1 outside
+	gone   bool // what waited is not wanted any more
 }
 
 // tenant has requests that wait.
@@ -116,7 +112,6 @@
 	out     float64
 	outN    int
 	unit    float64 // mean tokens of a unit
-	spent   float64 // mean seconds of one, from its being let go; 0 for unknown
 
 	pace    float64 // tokens a second; 0 for unknown
 	paceAt  control.Time
@@ -145,10 +140,7 @@
 // Arrive takes a large request, or refuses it: then after says when to come again.
 func (g *Gate) Arrive(now control.Time, r Request) (after time.Duration, ok bool) {
 	g.look(now)
-	if g.smallAt == 0 { // nobody knows who else is there
-		g.smallAt = now
-	}
-	w := &whole{Request: r, seq: g.seq + 1, pos: -1, let: make([]control.Time, len(r.Units))}
+	w := &whole{Request: r, seq: g.seq + 1, pos: -1}
 	for _, u := range r.Units {
 		w.left += u
 	}
@@ -260,11 +252,6 @@
 	switch outcome {
 	case Served:
 		g.done += tokens
-		took := now.Sub(w.let[u.N]).Seconds()
-		if g.spent == 0 {
-			g.spent = took
-		}
-		g.spent += unitAlpha * (took - g.spent)
 	case Withdrawn: // clients that leave before the end must not make the pool look slow
 		g.since, g.done, g.queued = now, 0, g.waiting > 0
 	}
@@ -334,11 +321,7 @@
 	g.yieldAt = now
 	servers := max(float64(g.servers)/float64(g.set.Routers), 1)
 	wait := g.set.Wait.Seconds()
-	quiet := now.Sub(g.smallAt)
-	if (g.spent == 0 || g.spent > longUnit*wait) && quiet < longAlone {
-		servers = max(math.Floor(servers/2), 1)
-	}
-	if quiet > aloneFor {
+	if g.smallAt == 0 || now.Sub(g.smallAt) > aloneFor {
 		wait *= alone
 	}
 	return g.yield * max(servers*g.unit, g.pace*wait)
@@ -367,7 +350,6 @@
 		let = append(let, Unit{w.ID, w.next})
 		g.out += tokens
 		g.outN++
-		w.let[w.next] = now
 		w.next++
 		w.out++
 		w.left -= tokens
--- a/control/size/size_test.go
+++ b/control/size/size_test.go
@@ -272,28 +272,6 @@
 	}
 }
 
-// TestLongUnits: units that would make small ones late leave half the servers to these, but
-// only while small ones come.
-func TestLongUnits(t *testing.T) {
-	p := newPool(6, 10000, Settings{Large: 1, Wait: 50 * time.Millisecond})
-	p.arrive(1, 1, 1000, 5000, time.Hour) // 500 ms each
-	p.run(7 * second)
-	if len(p.out) < 6 {
-		t.Errorf("%d units out on 6 servers, nobody else there", len(p.out))
-	}
-	for p.now < 12*second {
-		p.g.Small(at(p.now), 10*time.Millisecond, second, second)
-		p.run(p.now + 50*time.Millisecond)
-	}
-	if len(p.out) != 3 {
-		t.Errorf("%d units out on 6 servers beside small requests", len(p.out))
-	}
-	p.run(20 * second)
-	if len(p.out) < 6 {
-		t.Errorf("%d units out on 6 servers after the small ones", len(p.out))
-	}
-}
-
 // TestNoOneElsesFault: one client's doing holds no other's large requests back: neither its
 // leaving before the end of what it asked for nor its small ones without patience.
 func TestNoOneElsesFault(t *testing.T) {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -83,7 +83,6 @@
 apis = chat, completions
 models = demo-chat
 class = ask
-large_tokens = 8000
 report = num_requests_running:in_flight, num_requests_waiting:queue, kv_cache_usage_perc:memory
 
 [pool embeddings]
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -53,16 +53,13 @@
 	leave()
 	// drained tells that the client has taken what was passed to it.
 	drained()
-	// begun tells that the client has got a part of its answer.
-	begun() bool
 }
 
 // none is work that has yet to be known.
 type none struct{}
 
-func (none) leave()      {}
-func (none) drained()    {}
-func (none) begun() bool { return false }
+func (none) leave()   {}
+func (none) drained() {}
 
 // task is a request as it is to be computed.
 type task struct {
@@ -117,11 +114,13 @@
 
 // run begins a task. It answers no sooner than in a later turn.
 func (t *task) run(cl client) work {
-	if w := t.split(cl); w != nil {
-		return w
-	}
-	if m := t.join(cl); m != nil {
-		return m
+	if t.call.Checked() {
+		if w := t.split(cl); w != nil {
+			return w
+		}
+		if m := t.join(cl); m != nil {
+			return m
+		}
 	}
 	return t.single(cl, t.p.r.nextName())
 }
--- a/internal/router/embed_test.go
+++ b/internal/router/embed_test.go
@@ -330,7 +330,7 @@
 // TestPartsInTime: a part that can't end in time ends the whole early, and its siblings are
 // let go within the pin limit.
 func TestPartsInTime(t *testing.T) {
-	w := start(t, embedders(2), "part_items = 64", "part_items = 10", "part_items = 100\n", "part_items = 100\nlarge_tokens = 0\n")
+	w := start(t, embedders(2), "part_items = 64", "part_items = 10")
 	for _, e := range w.Find("pool:embeddings") {
 		e.Set(standin.Fault{Hang: true})
 	}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -340,8 +340,6 @@
 	}
 }
 
-func (x *exchange) begun() bool { return x.began }
-
 // drained goes on with an answer whose client has taken what was sent.
 func (x *exchange) drained() {
 	if x.at != nil {
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -125,9 +125,9 @@
 
 // abandon ends a request that runs on when the router must go.
 func (f *front) abandon() {
-	switch {
-	case f.busy() && f.job.begun():
-		f.job.leave()
+	switch x, alone := f.job.(*exchange); {
+	case alone && x.began:
+		x.leave()
 		f.breakOff("the router is shutting down")
 	case f.busy():
 		f.job.leave()
--- a/internal/router/join.go
+++ b/internal/router/join.go
@@ -158,8 +158,7 @@
 	}
 }
 
-func (m *member) drained()    {}
-func (m *member) begun() bool { return false }
+func (m *member) drained() {}
 
 func (s *joins) turn() {
 	send, late := s.j.Turn(s.p.r.now())
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -28,6 +28,7 @@
 
 // part is the client of an exchange for some of the items.
 type part struct {
+	wholeOnly
 	w    *whole
 	i    int
 	x    *exchange
@@ -51,7 +52,6 @@
 	w := &whole{t: t, cl: cl, items: items, tokens: tokens, plan: plan, batch: batch.New(len(plan), *t.control()),
 		parts: make([]*part, len(plan)), bodies: make([][]byte, len(plan)), name: p.r.nextName()}
 	if large {
-		t.ev.Large = true
 		p.gate.arrive(w)
 		return w
 	}
@@ -99,36 +99,12 @@
 	w := pt.w
 	pt.x = nil
 	w.t.p.r.bytes -= pt.size
-	pt.letGo(outcome)
-}
-
-// letGo tells the gate that a part keeps no one waiting any more.
-func (pt *part) letGo(outcome size.Outcome) {
-	if w := pt.w; w.id != 0 {
+	if w.id != 0 {
 		w.t.p.gate.g.End(w.t.p.r.now(), size.Unit{ID: w.id, N: pt.i}, outcome)
 		w.t.p.gate.kick()
 	}
 }
 
-// begin, pass, finish and breakOff hand on the answer of a request that went as it is. With
-// its first piece its prompt has been read: what it takes from then on is one place of many.
-func (pt *part) begin(status int, kind, id string, length int64) {
-	pt.letGo(size.Served)
-	pt.w.cl.begin(status, kind, id, length)
-}
-func (pt *part) pass(b []byte) bool { return pt.w.cl.pass(b) }
-func (pt *part) finish() {
-	pt.ended(size.Served)
-	pt.w.close()
-	pt.w.cl.finish()
-}
-func (pt *part) breakOff(why string) {
-	pt.ended(size.Lost)
-	pt.w.close()
-	pt.w.cl.breakOff(why)
-}
-func (pt *part) shared() bool { return false }
-
 // reply takes a part's answer.
 func (pt *part) reply(a answer) {
 	w := pt.w
@@ -194,15 +170,7 @@
 		w.close()
 	}
 }
-func (w *whole) drained() {
-	if pt := w.parts[0]; pt != nil && pt.x != nil {
-		pt.x.drained()
-	}
-}
-func (w *whole) begun() bool {
-	pt := w.parts[0]
-	return pt != nil && pt.x != nil && pt.x.began
-}
+func (w *whole) drained() {}
 
 // gate is a pool's gate for large requests.
 type gate struct {
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -135,7 +135,6 @@
 	ev := control.Fleet{Full: true}
 	p.ready, p.revision, p.mixed = 0, "", false
 	var servers []size.Server
-	readers := 0 // that prompts can be sent to
 	for i := range list {
 		n := &list[i]
 		kind := slices.Index(p.cfg.Kinds, n.Kind) // settings in force before may number them otherwise
@@ -149,16 +148,13 @@
 			p.mixed = p.mixed || p.ready > 0 && n.Revision != p.revision
 			p.revision = n.Revision
 			p.ready++
-			if n.Role != control.Writer {
-				readers++
-			}
 		}
 		ev.Servers = append(ev.Servers, control.Server{ID: n.ID, State: n.State, Kind: kind, Weight: n.Weight, Since: p.r.at(n.Start),
 			Zone: number(p.r.zones, n.Zone), Cell: number(p.r.cells, n.Zone+"/"+n.Cell)})
 	}
 	p.room = size.RoomOf(p.set.Context, servers)
-	p.gate.g.Servers(readers)
-	p.joins.j.Servers(readers)
+	p.gate.g.Servers(p.ready)
+	p.joins.j.Servers(p.ready)
 	p.push(ev)
 }
 
--- a/internal/router/repeats.go
+++ b/internal/router/repeats.go
@@ -361,8 +361,7 @@
 	s.arm()
 	lead(next)
 }
-func (a *assembly) drained()    {}
-func (a *assembly) begun() bool { return false }
+func (a *assembly) drained() {}
 
 // lead has inputs computed by those who waited for another to do it.
 func lead(list []place) {
--- a/internal/router/size_test.go
+++ b/internal/router/size_test.go
@@ -8,11 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
-	"time"
-
-	"martenlock/control"
 )
 
 // TestNeverRuns: a request that no engine can hold is answered at once in OpenAI's form, and
@@ -113,69 +109,3 @@
 		t.Errorf("%d made room, %d open, %v", s.MadeRoom, s.Connections, err)
 	}
 }
-
-// TestLargeChats: a wall of long prompts, from one tenant and from many, holds no more than
-// half the readers while short ones come; these go past it in order of readers, not of time;
-// streams of long ones pass the gate as well, and one that leaves lets go of its place.
-func TestLargeChats(t *testing.T) {
-	specs := two(4, 4)
-	for i := range specs {
-		if specs[i].Role == control.Reader {
-			specs[i].ReadRate = 50_000 // a long one takes 0.4 s
-		}
-	}
-	w := start(t, specs, "large_tokens = 8000", "large_tokens = 4000\nlarge_wait = 20ms")
-	long := func(stream bool) string {
-		return fmt.Sprintf(`{"model":"demo-chat","max_tokens":3,"stream":%v,"messages":[{"role":"user","content":"%s"}]}`, stream, strings.Repeat("ice ", 20_000))
-	}
-	if r := w.ask(call{}); !r.served() { // somebody short is there
-		t.Fatal(r)
-	}
-	var mu sync.Mutex
-	var order []string
-	note := func(what string) { mu.Lock(); order = append(order, what); mu.Unlock() }
-	var wait sync.WaitGroup
-	for i := range 12 {
-		wait.Go(func() {
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			if i == 11 {
-				time.AfterFunc(300*ms, cancel)
-			}
-			r := w.post(ctx, "/v1/chat/completions", "note", long(i%2 == 0), "X-Tenant", fmt.Sprint("t", i%4))
-			if r.err == nil && !r.served() {
-				t.Errorf("long %d: %v", i, r)
-			}
-			note("long")
-		})
-	}
-	w.until("the wall stands", func() bool {
-		return w.engine("r1").Stats().Waiting+w.engine("r2").Stats().Waiting+w.engine("r3").Stats().Waiting+w.engine("r4").Stats().Waiting >= 2
-	})
-	most := 0
-	for i := range 40 {
-		busy := 0
-		for _, e := range w.Find("kind:reader") {
-			busy += min(e.Stats().Waiting, 1)
-		}
-		most = max(most, busy)
-		if r := w.ask(call{stream: i%2 == 0, tokens: 2, session: []string{"", "s"}[i%2]}); !r.served() {
-			t.Errorf("short %d: %v", i, r)
-		}
-		note("short")
-	}
-	wait.Wait()
-	shorts := 0
-	for _, what := range order {
-		if what == "long" {
-			break
-		}
-		shorts++
-	}
-	if most > 2 || shorts < 10 {
-		t.Errorf("%d of 4 readers had long prompts; %d short ones were answered before the first long one: %v", most, shorts, order)
-	}
-	if s, err := w.Service.Router.Stats(); err != nil || s.GateRefused > 0 {
-		t.Error(s, err)
-	}
-}
