--- a/control/control.go
+++ b/control/control.go
@@ -50,6 +50,7 @@
 	illAt        = 0.35 // share of failures above which a server is set aside: two of the last four
 	slowAt       = 3.0  // times the role's mean time above which a server is set aside
 	sampleCap    = 1.5  // a time counts as at most so many times the mean: slow servers don't move it much
+	slowCap      = 1.5  // times slowAt; no sample of a pace counts as more
 	asideCap     = 0.5  // share of a role that may be set aside for errors or slowness
 	coldMargin   = 0.4  // share of the fall-over budget that is spent: the rest is for chance and neighbours
 
@@ -768,7 +769,7 @@
 // checkSlow sets aside a server whose better times are slow against its role's mean: peers, not its own
 // past, so that one that slows ever more shows too.
 func (r *Router) checkSlow(s *server, times float64) {
-	sink(&s.pace, times, unitAlpha)
+	sink(&s.pace, min(times, slowCap*slowAt), unitAlpha) // a single wait behind others' reads is no pace
 	if min(times, s.pace) > slowAt {
 		r.bad(s, illAlpha, "slow")
 	}
@@ -845,23 +846,20 @@
 // checkSilence sets aside a server that has held an attempt without a sign for
 // longer than its role needs, and takes back what may be sent elsewhere.
 func (r *Router) checkSilence(s *server) {
-	var first *request
-	tokens := 0.0
+	tokens, silent := 0.0, false
 	for _, q := range s.out {
 		if !q.started {
 			tokens += q.toRead + unitBase
-			if first == nil && !q.ended {
-				first = q
-			}
 		}
 	}
-	if first == nil {
-		return
+	usual := time.Duration(silenceRole * r.unit[s.role] * tokens * float64(time.Second))
+	for _, q := range s.out { // any of them: the first may be one whose client waits for longer than others'
+		if !q.started && !q.ended {
+			content := time.Duration(silenceAim * float64(q.aim.Sub(q.arrived)))
+			silent = silent || r.now.Sub(max(s.signAt, q.sentAt)) >= max(content, usual)
+		}
 	}
-	usual := time.Duration(r.unit[s.role] * tokens * float64(time.Second))
-	content := time.Duration(silenceAim * float64(first.aim.Sub(first.arrived)))
-	patience := max(content, silenceRole*usual)
-	if r.now.Sub(max(s.signAt, first.sentAt)) < patience || r.crowded(s) {
+	if !silent || r.crowded(s) {
 		return
 	}
 	s.signAt = r.now
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -713,3 +713,70 @@
 		}
 	}
 }
+
+// TestWaitBehindOthersIsNoPace: two short reads in a row that waited behind long ones of other
+// routers don't make their reader slow; TestSlowReaderIsSetAside holds the other side.
+func TestWaitBehindOthersIsNoPace(t *testing.T) {
+	set := settings(Reader, Writer)
+	set.Classes[0].Aim = 10 * time.Second // nothing is refused for its aim
+	s := start(t, set, 0, 0, 0, 1)
+	waits := 0
+	for id := RequestID(1); id < 120; id++ {
+		send := s.sent(s.do(10*ms, s.request(id, 0)))
+		took := 20 * ms
+		if send.Server == 1 && id%20 < 8 && waits < 2 {
+			waits++
+			took = 700 * ms
+		} else if send.Server == 1 {
+			waits = 0
+		}
+		s.do(took, Outcome{ID: id, Server: send.Server, Result: ReadDone, Took: took})
+		s.do(0, Outcome{ID: id, Attempt: 1, Server: 4, Result: OK, Took: 10 * ms, Final: true})
+		if s.r.servers[1].aside() {
+			t.Fatalf("request %d: set aside after %d waits", id, waits)
+		}
+	}
+}
+
+// TestKeptConnectionsLoss: requests lost with connections that had rested don't set a role
+// aside; one that is lost with a new connection does.
+func TestKeptConnectionsLoss(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		s := start(t, settings(Reader, Writer), 0, 0, 0, 0, 1)
+		aside := 0
+		acts := s.do(ms, s.request(1, 0))
+		for attempt := range 4 {
+			send := s.sent(acts)
+			acts = s.do(ms, Outcome{ID: 1, Attempt: attempt, Server: send.Server, Result: Reset, Kept: kept})
+		}
+		for _, v := range s.r.order {
+			if v.aside() {
+				aside++
+			}
+		}
+		if want := map[bool]int{true: 0, false: 4}[kept]; aside != want {
+			t.Errorf("kept %v: %d readers set aside, want %d", kept, aside, want)
+		}
+	}
+}
+
+// TestSilenceForTheLeastPatient: a request with a long aim that was sent first does not make
+// those behind it wait as long: at a silent reader these are taken back by their own aim.
+func TestSilenceForTheLeastPatient(t *testing.T) {
+	set := settings(Reader, Writer)
+	set.Classes[1].Aim = 6 * time.Second
+	s := start(t, set, 0, 0, 1)
+	s.do(0, Fleet{Servers: []Server{{ID: 2, State: Draining, Kind: 0, Weight: 1}}})
+	slow := s.request(1, 1)
+	slow.Deadline = s.now.Add(20 * time.Second)
+	s.sent(s.do(0, slow))
+	s.sent(s.do(0, s.request(2, 0)))
+	s.do(0, Fleet{Servers: []Server{{ID: 2, State: Ready, Kind: 0, Weight: 1}}})
+	back := map[RequestID]bool{}
+	for _, c := range only[Cancel](s.ticks(1300 * ms)) {
+		back[c.ID] = true
+	}
+	if !back[2] {
+		t.Errorf("taken back: %v", back)
+	}
+}
