An attempt that two later ones overtook is taken back: its connection fell silent

Ruled out: dead servers (their sockets brought answers, ill 0), queues (later requests to the same server were answered in 20 to 100 ms). Cause: checkSilence counts from signAt, the server's latest sign on any connection. Change: an attempt notes how many sent later to its server were answered first; after two, and a third of the patience, it alone is taken back where it may be repeated.

--- a/control/control.go
+++ b/control/control.go
@@ -31,6 +31,7 @@
 	sendsKept    = 0.5  // share of our sends that reports a second later do not show yet
 	minWeight    = 0.01 // a server's weight is taken as at least this
 	heldByChance = 3    // so many held ahead of a request say nothing of how fast they go
+	lostAfter    = 2    // so many requests sent later and answered first: an attempt is lost with its connection
 	fewReads     = 3.0  // reads at one reader that are never too many
 	cellSkew     = 1.4  // a reader beside many writers reads up to so much more: readers have reserves
 	mixedLag     = 1.3  // a mixed server's answers may take so many times a writer's; beyond, it gets less
@@ -78,6 +79,8 @@
 	attempts, most   int  // most: that it may have
 	lost             int  // attempts that ended with their connection: what crashes servers loses them all
 	out, started     bool // an attempt is out; its answer streams
+	recalled         bool // and is taken back
+	overtaken        int  // requests sent later to its server that were answered first
 	at               *server
 	sentAt, restedAt Time    // of the latest attempt: its start and its end
 	holder           *server // the reader whose memory holds the state
@@ -526,7 +529,7 @@
 
 // send starts the next attempt of a request.
 func (r *Router) send(q *request, s *server) {
-	q.at, q.sentAt, q.out = s, r.now, true
+	q.at, q.sentAt, q.out, q.recalled, q.overtaken = s, r.now, true, false, 0
 	q.attempts++
 	r.book(s, q, 1)
 	if q.toRead = q.PromptLen; q.holder == nil {
@@ -547,7 +550,7 @@
 	if q == nil || s == nil || !q.out {
 		return
 	}
-	s.signAt = r.now
+	r.sign(s, q)
 	r.sample(s, ev.Took.Seconds(), q.toRead)
 	q.started, q.holder = true, nil
 }
@@ -565,7 +568,9 @@
 	q.restedAt = r.now
 	r.report(s, ev.Report)
 	r.judge(q, s, ev)
-	s.signAt = r.now
+	if s.signAt = r.now; ev.Result == ReadDone {
+		r.sign(s, q)
+	}
 	q.spent += ev.Took
 	if ev.Result == ReadDone {
 		q.holder = s
@@ -857,6 +862,10 @@
 		if !q.started && !q.ended {
 			content := time.Duration(silenceAim * float64(q.aim.Sub(q.arrived)))
 			silent = silent || r.now.Sub(max(s.signAt, q.sentAt)) >= max(content, usual)
+			alone := time.Duration(silenceRole * r.unit[s.role] * (q.toRead + unitBase) * float64(time.Second))
+			if q.overtaken >= lostAfter && r.now.Sub(q.sentAt) >= max(content/3, alone) {
+				r.takeBack(q, s)
+			}
 		}
 	}
 	if !silent || r.crowded(s) {
@@ -865,9 +874,26 @@
 	s.signAt = r.now
 	r.bad(s, silentWeight, "silent")
 	for _, q := range s.out {
-		if r.set.MayCancel && !q.ended && !q.started && q.attempts < q.most &&
-			(s.role == Reader || q.class.Effect == Safe) {
-			r.do(Cancel{ID: q.ID, Attempt: q.attempts - 1})
+		r.takeBack(q, s)
+	}
+}
+
+// takeBack cancels an attempt that may be made again.
+func (r *Router) takeBack(q *request, s *server) {
+	if r.set.MayCancel && !q.ended && !q.started && !q.recalled && q.attempts < q.most &&
+		(s.role == Reader || q.class.Effect == Safe) {
+		q.recalled = true
+		r.do(Cancel{ID: q.ID, Attempt: q.attempts - 1})
+	}
+}
+
+// sign notes that a server has answered a request. Those sent before it that have no answer may be lost with
+// their connection while the server lives: silence does not show them.
+func (r *Router) sign(s *server, q *request) {
+	s.signAt = r.now
+	for _, o := range s.out {
+		if o.sentAt < q.sentAt {
+			o.overtaken++
 		}
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -780,3 +780,37 @@
 		t.Errorf("taken back: %v", back)
 	}
 }
+
+// TestOvertakenIsTakenBack: a read that two later ones at its reader have overtaken is taken back
+// though the reader lives, and not set aside for it; one that nobody overtook waits on, and so
+// does an unsafe request at a writer.
+func TestOvertakenIsTakenBack(t *testing.T) {
+	for later := range 4 {
+		s := start(t, settings(Reader, Writer), 0, 1)
+		s.sent(s.do(0, s.request(1, 0)))
+		for i := range later {
+			id := RequestID(10 + i)
+			s.sent(s.do(ms, s.request(id, 0)))
+			s.do(5*ms, Outcome{ID: id, Server: 1, Result: ReadDone, Took: 5 * ms})
+			s.do(0, Outcome{ID: id, Attempt: 1, Server: 2, Result: OK, Took: 10 * ms, Final: true})
+		}
+		back := only[Cancel](s.ticks(600 * ms))
+		if want := later >= lostAfter; want != (len(back) == 1 && back[0].ID == 1) || s.r.servers[1].aside() {
+			t.Errorf("%d later ones: %v, aside %v", later, back, s.r.servers[1].aside())
+		}
+	}
+	s := start(t, settings(Reader, Writer), 0, 1)
+	for id := RequestID(1); id < 6; id++ {
+		class := 0
+		if id == 1 {
+			class = 1
+		}
+		s.read(s.sent(s.do(0, s.request(id, class))), 0)
+		if id > 1 {
+			s.do(ms, Started{ID: id, Server: 2, Attempt: 1, Took: ms})
+		}
+	}
+	if back := only[Cancel](s.ticks(600 * ms)); len(back) != 0 {
+		t.Errorf("an unsafe request at a writer: %v", back)
+	}
+}
