Unsafe requests take kept connections only where such have served well lately

Cause: reuse.Book.Trust trusted what it had not seen. Change: for requests that must not be repeated, 17 good uses of like connections must have been seen; control characters in a response's header values no longer spoil it (http1.field), which a test of reports that can't be read showed.

--- a/control/reuse/reuse.go
+++ b/control/reuse/reuse.go
@@ -6,8 +6,9 @@
 // the peer a handshake, but where it fails nothing has run.
 //
 // The rule: of the requests sent lately on connections that had rested about as long, the share
-// that was lost is held against a bound: a low one for requests that must not be repeated, a
-// higher one for others. What was seen fades, so distrust is tried again.
+// that was lost is held against a bound: for requests that must not be repeated a low one that
+// good uses must have earned, for others a higher one. What was seen fades: so do trust and
+// distrust.
 package reuse
 
 import (
@@ -24,6 +25,7 @@
 	prior     = 8.0                   // uses that are taken as seen to go well
 	mostLost  = 0.15                  // share lost above which nothing is sent on such connections
 	onceLost  = 0.02                  // and nothing that must not be repeated
+	doubt     = 0.5                   // losses that are taken as seen, for these: 17 good uses come first
 	soon      = 250 * time.Millisecond
 )
 
@@ -54,11 +56,11 @@
 // it must not be repeated if it may have run.
 func (b *Book) Trust(now control.Time, rested time.Duration, once bool) bool {
 	b.age(now)
-	i, most := band(rested), mostLost
-	if once {
-		most = onceLost
+	i := band(rested)
+	if once { // it takes what was seen to be trusted, not the lack of it
+		return b.lost[i]+doubt <= onceLost*(b.uses[i]+prior)
 	}
-	return b.lost[i] <= most*(b.uses[i]+prior)
+	return b.lost[i] <= mostLost*(b.uses[i]+prior)
 }
 
 // Ended takes in how a request fared on a connection that had rested: after is the time from
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -190,7 +190,7 @@
 			p.state = atEnd
 			return n, More, nil, nil
 		}
-		if _, err := field(line); err != nil {
+		if _, err := field(line, p.response); err != nil {
 			return 0, More, nil, err
 		}
 		return n, More, nil, nil
@@ -306,7 +306,7 @@
 			return 0, More, nil, &Error{431, "more header fields than the limit"}
 		}
 		var f Field
-		f, err = field(line)
+		f, err = field(line, p.response)
 		h.Fields = append(h.Fields, f)
 	}
 	if err == nil {
@@ -379,7 +379,10 @@
 	return nil
 }
 
-func field(line []byte) (Field, *Error) {
+// field takes a header line apart. Of a response, control characters in a value are kept (RFC 9110,
+// section 5.5, allows it but for CR, LF and NUL): what an engine says beside its answer must not
+// spoil the answer.
+func field(line []byte, lenient bool) (Field, *Error) {
 	if line[0] == ' ' || line[0] == '\t' {
 		return Field{}, bad("folded header line")
 	}
@@ -387,7 +390,11 @@
 	if !ok || !token(name) {
 		return Field{}, bad("malformed header field name")
 	}
-	if value = bytes.Trim(value, " \t"); !clean(value) {
+	value = bytes.Trim(value, " \t")
+	if lenient && bytes.IndexByte(value, 0) < 0 && bytes.IndexByte(value, '\r') < 0 {
+		return Field{name, value}, nil
+	}
+	if !clean(value) {
 		return Field{}, bad("control character in a header field")
 	}
 	return Field{name, value}, nil
