--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -26,7 +26,8 @@
 	timedOut bool // the latest attempt
 	began    bool
 	since    time.Duration
-	history  string // of its attempts, where requests are traced
+	first    time.Duration // until its first event
+	history  string        // of its attempts, where requests are traced
 }
 
 // take begins a request. From here on it owes one answer.
@@ -142,6 +143,7 @@
 	x := a.x
 	a.started, x.began = true, true
 	x.r.loop.Stop(&a.timer)
+	x.first = x.r.loop.Now() - x.since
 	a.e.first(x.r.loop.Now() - a.since)
 	x.r.push(control.Started{ID: x.id, Server: a.server, Attempt: a.number, Took: x.r.loop.Now() - a.since})
 	x.r.bytes -= len(x.body)
--- a/internal/platform/trace.go
+++ b/internal/platform/trace.go
@@ -67,9 +67,11 @@
 
 // traceRequest notes how a request went where it did not go smoothly.
 func (x *exchange) traceRequest(how string) {
-	if !x.r.traceRequests || how == "served" && x.attempts <= 2 {
+	class := &x.r.cfg.Settings.Control.Classes[x.call.ev.Class]
+	aim := class.Aim + time.Duration(float64(class.AimPer1000)*x.call.ev.PromptLen/1000)
+	if !x.r.traceRequests || how == "served" && x.attempts <= 2 && x.first <= aim {
 		return
 	}
 	x.r.log.Info().Str("id", x.call.name).Int("class", x.call.ev.Class).Str("how", how).Int("attempts", x.attempts).
-		Float64("prompt", x.call.ev.PromptLen).Dur("took", x.r.loop.Now()-x.since).Str("history", x.history).Msg("request")
+		Float64("prompt", x.call.ev.PromptLen).Dur("first", x.first).Dur("took", x.r.loop.Now()-x.since).Str("history", x.history).Msg("request")
 }
