--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -182,3 +182,19 @@
 		}
 	}
 }
+
+// TestControlCharacters: in a header's value they spoil a request, not a response, but for NUL
+// and a bare CR.
+func TestControlCharacters(t *testing.T) {
+	limits := &Limits{Line: 1000, Headers: 4000, Fields: 20, Body: 1000}
+	for value, good := range map[string]bool{"a\x01b\x7f": true, "a\x00b": false, "a\rb": false, "ab": true} {
+		_, _, _, err := NewResponses(limits).Next([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: " + value + "\r\n\r\n"))
+		if (err == nil) != good {
+			t.Errorf("response with %q: %v", value, err)
+		}
+		_, _, _, err = NewRequests(limits).Next([]byte("GET / HTTP/1.1\r\nHost: x\r\nX: " + value + "\r\n\r\n"))
+		if (err == nil) != (value == "ab") {
+			t.Errorf("request with %q: %v", value, err)
+		}
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -53,6 +53,7 @@
 	wheel   wheel.Wheel
 	fds     map[int]source
 	scratch []byte
+	batch   int // events a turn, most
 	iov     [vectors]unix.Iovec
 	pool    pool
 	dirty   []*Conn // to be flushed, re-armed or handed leftovers at the end of the turn
@@ -94,7 +95,7 @@
 		return nil, fmt.Errorf("loop: eventfd: %w", err)
 	}
 	l := &Loop{opts: opts, ep: ep, wake: wake, origin: time.Now(), fds: map[int]source{},
-		scratch: make([]byte, scratchSize), pool: pool{kept: opts.Kept}, paused: map[*Listener]struct{}{}}
+		scratch: make([]byte, scratchSize), batch: eventsPerTurn, pool: pool{kept: opts.Kept}, paused: map[*Listener]struct{}{}}
 	ev := unix.EpollEvent{Events: unix.EPOLLIN, Fd: int32(wake)}
 	if err := unix.EpollCtl(ep, unix.EPOLL_CTL_ADD, wake, &ev); err != nil {
 		return nil, errors.Join(fmt.Errorf("loop: epoll_ctl: %w", err), unix.Close(ep), unix.Close(wake))
@@ -146,7 +147,7 @@
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	defer l.closeAll()
-	events := make([]unix.EpollEvent, eventsPerTurn)
+	events := make([]unix.EpollEvent, l.batch)
 	n, late := 0, 0
 	for !l.stopped {
 		var err error
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -277,3 +277,113 @@
 		t.Errorf("fired after %v", at-began)
 	}
 }
+
+// faulty panics on its first bytes.
+type faulty struct{ closed chan error }
+
+func (f *faulty) Opened(*Conn)               {}
+func (f *faulty) Data(_ *Conn, _ []byte) int { panic("a fault") }
+func (f *faulty) EOF(*Conn)                  {}
+func (f *faulty) Drained(*Conn)              {}
+func (f *faulty) Closed(_ *Conn, err error)  { f.closed <- err }
+
+// TestFault: a handler's panic ends its connection, is told, and harms no other.
+func TestFault(t *testing.T) {
+	told := make(chan any, 4)
+	l, on := start(t, Options{Fault: func(reason any) { told <- reason }})
+	closed := make(chan error, 4)
+	good := true
+	var ln *Listener
+	on(func() {
+		var err error
+		ln, err = l.Listen(local, func(*Conn) Handler {
+			if good = !good; good {
+				return &echo{events: make(chan string, 4)}
+			}
+			return &faulty{closed}
+		})
+		if err != nil {
+			t.Error(err)
+		}
+	})
+	for i := range 4 {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(10 * time.Second))
+		if _, err := c.Write([]byte("hi")); err != nil {
+			t.Fatal(err)
+		}
+		got := make([]byte, 2)
+		_, err = io.ReadFull(c, got)
+		if bad := i%2 == 0; bad != (err != nil) {
+			t.Errorf("connection %d: %q, %v", i, got, err)
+		} else if bad {
+			if reason := <-told; reason != "a fault" {
+				t.Error(reason)
+			}
+			if err := <-closed; err == nil {
+				t.Error("closed without a word")
+			}
+		}
+		c.Close()
+	}
+}
+
+// TestLateLoop: a loop that was held up reads what came meanwhile before it fires timers that
+// fell due meanwhile, also where that takes more than one turn: its own lateness is not its
+// peers'.
+func TestLateLoop(t *testing.T) {
+	l, err := New(Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.batch = 3 // events a turn
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run() }()
+	on := func(fn func()) {
+		done := make(chan struct{})
+		l.Post(func() { fn(); close(done) })
+		<-done
+	}
+	const peers = 10
+	order := make(chan string, peers+1)
+	ln := listen(t, l, on, func(*Conn) Handler { return &teller{order} })
+	var conns []net.Conn
+	for range peers {
+		conns = append(conns, dial(t, ln))
+	}
+	for open := 0; open < peers; {
+		on(func() { open = ln.Open() })
+	}
+	on(func() {
+		l.Start(&wheel.Timer{Fire: func() { order <- "timer" }}, 20*time.Millisecond)
+		for _, c := range conns {
+			if _, err := c.Write([]byte("x")); err != nil {
+				t.Error(err)
+			}
+		}
+		time.Sleep(100 * time.Millisecond) // held up
+	})
+	for i := range peers {
+		if first := <-order; first != "data" {
+			t.Errorf("%s after the bytes of %d of %d peers", first, i, peers)
+		}
+	}
+	l.Post(l.Shut)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+type teller struct{ order chan string }
+
+func (w *teller) Opened(*Conn) {}
+func (w *teller) Data(_ *Conn, b []byte) int {
+	w.order <- "data"
+	return len(b)
+}
+func (w *teller) EOF(c *Conn)         { c.Close() }
+func (w *teller) Drained(*Conn)       {}
+func (w *teller) Closed(*Conn, error) {}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,200 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"martenlock/internal/http1"
+	"martenlock/internal/loop"
+)
+
+// taker notes how a request went.
+type taker struct {
+	ended chan Break // the zero Break for a whole response
+}
+
+func (s *taker) Connected()       {}
+func (s *taker) Head(*http1.Head) {}
+func (s *taker) Data([]byte)      {}
+func (s *taker) End()             { s.ended <- Break{} }
+func (s *taker) Broken(how Break) { s.ended <- how }
+
+// world is a pool on a loop, beside an engine that answers every request and then does as told.
+type world struct {
+	*testing.T
+	l    *loop.Loop
+	pool *Pool
+	then chan func(net.Conn) // what it does after an answer, if anything waits here
+	seen chan string
+}
+
+func begin(t *testing.T, opts Options) *world {
+	l, err := loop.New(loop.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	opts.Limits = http1.Limits{Line: 1000, Headers: 4000, Fields: 20, Body: 1 << 20}
+	opts.ConnectTimeout = 5 * time.Second
+	w := &world{t, l, &Pool{Loop: l, Options: &opts, Budget: &Budget{}, Addr: netip.MustParseAddrPort(ln.Addr().String())},
+		make(chan func(net.Conn), 1), make(chan string, 100)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			w.seen <- "connection"
+			go func() {
+				for b := bufio.NewReader(c); ; {
+					if _, err := http.ReadRequest(b); err != nil {
+						w.seen <- "gone"
+						c.Close()
+						return
+					}
+					w.seen <- "request"
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					select {
+					case then := <-w.then:
+						then(c)
+					default:
+					}
+				}
+			}()
+		}
+	}()
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run() }()
+	t.Cleanup(func() {
+		l.Post(l.Shut)
+		ln.Close()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return w
+}
+
+func (w *world) on(fn func()) {
+	done := make(chan struct{})
+	w.l.Post(func() { fn(); close(done) })
+	<-done
+}
+
+func (w *world) ask(once bool) Break {
+	w.Helper()
+	s := &taker{make(chan Break, 1)}
+	w.on(func() {
+		if _, err := w.pool.Start(s, []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), nil, once); err != nil {
+			w.Error(err)
+			s.ended <- Break{Reason: err.Error()}
+		}
+	})
+	return <-s.ended
+}
+
+func (w *world) expect(what ...string) {
+	w.Helper()
+	for _, want := range what {
+		select {
+		case got := <-w.seen:
+			if got != want {
+				w.Errorf("the engine saw %q, not %q", got, want)
+			}
+		case <-time.After(5 * time.Second):
+			w.Fatalf("no %q", want)
+		}
+	}
+}
+
+// TestReuse: a connection is kept for the next request, but not one that has ended or brought
+// more than its answer meanwhile, even when the loop has not been told of it yet.
+func TestReuse(t *testing.T) {
+	w := begin(t, Options{Idle: time.Minute, PerEngine: 4})
+	for range 3 {
+		if how := w.ask(false); how != (Break{}) {
+			t.Fatal(how)
+		}
+	}
+	w.expect("connection", "request", "request", "request")
+	for _, then := range []func(net.Conn){
+		func(c net.Conn) { c.Close() },
+		func(c net.Conn) { io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray") },
+	} {
+		did := make(chan struct{})
+		w.then <- func(c net.Conn) { then(c); close(did) }
+		if how := w.ask(false); how != (Break{}) {
+			t.Fatal(how)
+		}
+		<-did
+		if how := w.ask(false); how != (Break{}) {
+			t.Fatal(how)
+		}
+		for seen := []string{}; ; { // the next request comes on a new connection
+			s := <-w.seen
+			if seen = append(seen, s); s == "connection" {
+				w.expect("request")
+				break
+			}
+			if len(seen) > 3 {
+				t.Fatal(seen)
+			}
+		}
+	}
+}
+
+type rule func(rested time.Duration, once bool) bool
+
+func (r rule) Trust(rested time.Duration, once bool) bool { return r(rested, once) }
+func (r rule) Ended(time.Duration, time.Duration, bool)   {}
+
+// TestTrust: a connection that is not trusted for a request that must not be repeated waits for
+// another; one that is trusted for none is closed.
+func TestTrust(t *testing.T) {
+	any := true
+	w := begin(t, Options{Idle: time.Minute, PerEngine: 4, Trust: rule(func(_ time.Duration, once bool) bool { return any && !once })})
+	w.ask(false)
+	w.ask(true)
+	w.expect("connection", "request", "connection", "request")
+	w.ask(false)
+	w.expect("request")
+	w.on(func() { any = false })
+	w.ask(false)
+	seen := map[string]int{}
+	for range 4 {
+		seen[<-w.seen]++
+	}
+	if seen["connection"] != 1 || seen["request"] != 1 || seen["gone"] != 2 {
+		t.Error(seen)
+	}
+}
+
+// TestBudget: connections to all engines together are bounded; one that rests makes room.
+func TestBudget(t *testing.T) {
+	w := begin(t, Options{Idle: time.Minute, PerEngine: 9, Total: 1})
+	w.ask(false)
+	other := &Pool{Loop: w.l, Options: w.pool.Options, Budget: w.pool.Budget, Addr: w.pool.Addr}
+	s, s2 := &taker{make(chan Break, 1)}, &taker{make(chan Break, 1)}
+	w.on(func() {
+		if _, err := other.Start(s, []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), nil, false); err != nil {
+			t.Error(err)
+		}
+		if _, err := w.pool.Start(s2, nil, nil, false); err == nil {
+			t.Error("more than the budget")
+		}
+		if w.pool.Open() != 0 || w.pool.Budget.Open() != 1 {
+			t.Errorf("%d and %d open", w.pool.Open(), w.pool.Budget.Open())
+		}
+	})
+	if how := <-s.ended; how != (Break{}) {
+		t.Error(how)
+	}
+}
