What was heard of engines that are gone is forgotten; budgets move into control/conns

Found on reading the change again. letgo.Book kept a note of each engine whose last answer came after its connections had ended (attempt.End calls Heard after forget): one map entry an engine for ever. Client connections may pass their share by 64 in one turn, since those closed to make room hold theirs until its end: the listener has a hard bound within the spare descriptors. Shares of memory and pauses of refusals were constants in glue.

--- a/control/conns/conns.go
+++ b/control/conns/conns.go
@@ -120,3 +120,21 @@
 	}
 	return theirs / idlePart
 }
+
+// When a client that this router has no room for may come back: FullPause where others must
+// first end, StopPause where another router takes it.
+const (
+	FullPause = 500 * time.Millisecond
+	StopPause = 100 * time.Millisecond
+)
+
+// Hard is the most connections of clients that are ever open, for a moment, where there is room
+// for so many: part of the spare descriptors stays for files.
+func Hard(clients int) int { return clients + spare/2 }
+
+// Memory shares what a process may hold: the collector's soft limit, and a bound on the bytes of
+// requests and of answers held back. The program's own pages and the collector's slack take the
+// rest.
+func Memory(limit int64) (heap int64, bytes int) {
+	return limit * 6 / 10, int(limit * 2 / 10)
+}
--- a/control/letgo/letgo.go
+++ b/control/letgo/letgo.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -43,7 +44,8 @@
 type Book struct {
 	limit time.Duration
 	wants map[string]*want
-	order []*want // by age
+	order []*want            // by age
+	list  []control.ServerID // that may be asked
 	heard map[control.ServerID]control.Time
 	bad   map[control.ServerID]control.Time
 	out   int
@@ -87,14 +89,32 @@
 	b.order = slices.DeleteFunc(b.order, func(o *want) bool { return o == w })
 }
 
+// Listed says which engines there are to ask; what was heard of others is forgotten.
+func (b *Book) Listed(ids []control.ServerID) {
+	b.list = slices.Sorted(slices.Values(ids))
+	gone := func(id control.ServerID, _ control.Time) bool { return !b.listed(id) }
+	maps.DeleteFunc(b.heard, gone)
+	maps.DeleteFunc(b.bad, gone)
+}
+
+func (b *Book) listed(id control.ServerID) bool {
+	_, ok := slices.BinarySearch(b.list, id)
+	return ok
+}
+
 // Heard notes a sign of life of an engine.
-func (b *Book) Heard(now control.Time, id control.ServerID) { b.heard[id] = now }
+func (b *Book) Heard(now control.Time, id control.ServerID) { b.note(b.heard, now, id) }
 
 // Silent notes that an engine could not be reached or did not answer.
-func (b *Book) Silent(now control.Time, id control.ServerID) { b.bad[id] = now }
+func (b *Book) Silent(now control.Time, id control.ServerID) { b.note(b.bad, now, id) }
 
-// Forget drops an engine that is not listed any more.
-func (b *Book) Forget(id control.ServerID) { delete(b.heard, id); delete(b.bad, id) }
+// note leaves out engines that are not listed: their last words come when nobody will ask them
+// to be forgotten any more.
+func (b *Book) note(at map[control.ServerID]control.Time, now control.Time, id control.ServerID) {
+	if b.listed(id) {
+		at[id] = now
+	}
+}
 
 // Answered ends a call.
 func (b *Book) Answered(now control.Time, a Ask, ok bool) {
@@ -115,7 +135,7 @@
 }
 
 // Turn returns the calls to make now, to engines among those listed.
-func (b *Book) Turn(now control.Time, listed []control.ServerID) (asks []Ask) {
+func (b *Book) Turn(now control.Time) (asks []Ask) {
 	for _, w := range slices.Clone(b.order) {
 		if now.Sub(w.since) > time.Duration(keep*float64(b.limit)) {
 			b.drop(w)
@@ -125,7 +145,7 @@
 		if now < w.next || b.out >= mostOut {
 			continue
 		}
-		id, ok := b.best(listed, w)
+		id, ok := b.best(w)
 		if !ok {
 			w.next, w.tried = now.Add(b.wait()), nil // all were asked: from the start
 			continue
@@ -155,7 +175,7 @@
 
 // best is the engine that answered latest among those not tried, and of those that never did
 // or failed since, the one that failed longest ago.
-func (b *Book) best(listed []control.ServerID, w *want) (best control.ServerID, ok bool) {
+func (b *Book) best(w *want) (best control.ServerID, ok bool) {
 	rank := func(id control.ServerID) (well bool, at control.Time) {
 		if h, f := b.heard[id], b.bad[id]; h > f {
 			return true, h
@@ -163,7 +183,7 @@
 			return false, ^f
 		}
 	}
-	for _, id := range listed {
+	for _, id := range b.list {
 		if slices.Contains(w.tried, id) {
 			continue
 		}
--- a/internal/platform/codec.go
+++ b/internal/platform/codec.go
@@ -235,26 +235,31 @@
 
 // lists is discovery's message.
 type lists struct {
-	Revision uint64 `json:"revision"`
-	Complete bool   `json:"complete"`
-	Members  []struct {
-		ID       string  `json:"id"`
-		HostPort string  `json:"host_port"`
-		Locality string  `json:"locality"`
-		Flavor   string  `json:"flavor"`
-		Cell     int     `json:"cell"`
-		Phase    string  `json:"phase"`
-		Size     float64 `json:"size"`
-		UpSince  int64   `json:"up_since_ms"`
-	} `json:"members"`
+	Revision uint64   `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []member `json:"members"`
 }
 
+type member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+// server is the module's number of an engine, the same at every router.
+func (m *member) server() control.ServerID { return control.ServerID(xxhash.Sum64String(m.ID)) }
+
 // list turns a message into the module's terms. What can't be used of it is left out and
 // named in the error; the rest holds.
 func (l *lists) list(set *settings.Settings, since func(ms int64) control.Time) (out membership.List, err error) {
 	out = membership.List{Revision: l.Revision, Complete: l.Complete}
 	for _, m := range l.Members {
-		s := membership.Server{Server: control.Server{ID: control.ServerID(xxhash.Sum64String(m.ID)), Weight: m.Size, Since: since(m.UpSince),
+		s := membership.Server{Server: control.Server{ID: m.server(), Weight: m.Size, Since: since(m.UpSince),
 			Kind: slices.Index(set.Kinds, m.Flavor), Zone: zone(set.Zones, m.Locality), Cell: uint16(m.Cell)}}
 		switch m.Phase {
 		case "in_service":
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -48,17 +48,18 @@
 			r.engine(m)
 		}
 	}
-	r.listed = r.listed[:0]
+	var ready []control.ServerID
 	for id, e := range r.engines {
 		m, ok := r.table.Get(id)
 		if ok && m.State == control.Ready {
-			r.listed = append(r.listed, id)
+			ready = append(ready, id)
 		}
 		if e.Gone = !ok; !ok {
 			e.DropIdle()
 			e.forget()
 		}
 	}
+	r.letgo.Listed(ready)
 }
 
 func (r *Router) engine(m membership.Server) {
@@ -77,7 +78,6 @@
 func (e *engine) forget() {
 	if e.Gone && e.Open() == 0 && e.r.engines[e.id] == e {
 		delete(e.r.engines, e.id)
-		e.r.letgo.Forget(e.id)
 	}
 }
 
@@ -163,7 +163,7 @@
 
 // release makes the calls that let go of what is held.
 func (r *Router) release() {
-	for _, a := range r.letgo.Turn(r.now(), r.listed) {
+	for _, a := range r.letgo.Turn(r.now()) {
 		r.letGo(a)
 	}
 	r.loop.Stop(&r.held)
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -140,7 +140,7 @@
 		case http1.Data:
 			if f.r.bytes+len(data) > f.r.budget.bytes {
 				f.dropBody()
-				f.over(503, "Retry-After: 0.5\r\n", "too many bytes of requests at once")
+				f.over(503, retryAfter(conns.FullPause), "too many bytes of requests at once")
 				return len(b)
 			}
 			f.r.bytes += len(data)
@@ -188,9 +188,9 @@
 	case f.call != nil && r.names[f.call.name] != nil:
 		f.refuse(400, "X-Call-Id: a request of this id is open")
 	case f.call != nil && r.stopping && !r.grace:
-		f.over(503, "Retry-After: 0.1\r\n", "the router stops")
+		f.over(503, retryAfter(conns.StopPause), "the router stops")
 	case f.call != nil && r.cfg.Settings.MostHeld > 0 && len(r.live) >= r.cfg.Settings.MostHeld:
-		f.over(503, "Retry-After: 0.5\r\n", "the router holds as many requests as it may")
+		f.over(503, retryAfter(conns.FullPause), "the router holds as many requests as it may")
 	case f.call != nil:
 		r.take(f)
 	case f.get && f.path == "/healthz":
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -39,7 +39,6 @@
 	reuse         reuse.Book
 	held          wheel.Timer // until the book of what is held has something to do
 	engines       map[control.ServerID]*engine
-	listed        []control.ServerID // those ready
 	upstream      upstream.Options
 	conns         upstream.Budget
 	fronts        map[*front]struct{}
@@ -65,15 +64,8 @@
 	memory           int64
 }
 
-// Shares of memory_mb. The program's own pages and the collector's slack take the rest.
-const (
-	heapShare  = 0.6
-	bytesShare = 0.2
-)
-
 func newBudget(l Limits) (b budget) {
-	mb := l.MemoryMB * (1 << 20)
-	b.bytes, b.memory = int(bytesShare*mb), int64(heapShare*mb)
+	b.memory, b.bytes = conns.Memory(int64(l.MemoryMB * (1 << 20)))
 	b.clients, b.engines = conns.Split(l.Sockets)
 	return b
 }
@@ -88,7 +80,7 @@
 	r := &Router{cfg: cfg, budget: b, log: log, engines: map[control.ServerID]*engine{}, fronts: map[*front]struct{}{},
 		live: map[control.RequestID]*exchange{}, names: map[string]*exchange{}, letgo: letgo.New(cfg.Settings.Control.PinLimit)}
 	var err error
-	if r.loop, err = loop.New(loop.Options{HighMark: 32 << 10, MaxOutput: 1 << 20, Kept: int(heapShare*float64(b.bytes)) / 8, Fault: r.fault}); err != nil {
+	if r.loop, err = loop.New(loop.Options{HighMark: 32 << 10, MaxOutput: 1 << 20, Kept: b.bytes / 16, Fault: r.fault}); err != nil {
 		return nil, err
 	}
 	r.upstream = upstream.Options{Limits: http1.Limits{Line: 8 << 10, Headers: 16 << 10, Fields: 64, Body: 4 << 20},
@@ -101,6 +93,7 @@
 	if r.ln, err = r.loop.Listen(cfg.Listen, r.accept); err != nil {
 		return nil, fmt.Errorf("listen %s: %w", cfg.Listen, err)
 	}
+	r.ln.Max = conns.Hard(b.clients) // those closed to make room hold theirs until the turn ends
 	r.wake()
 	r.follow(cfg.Discovery)
 	return r, nil
