Fix a crash by one client: ending a connection while its leftovers are handed over

Cause: loop.Conn.deliver in internal/loop/conn.go sliced c.in after Handler.Data, while Close, Abort or Reset in the handler had given c.in back to the pool (dropIn) and set it to nil. Ruled out: the parser, which found the error rightly. Change: the buffer is taken from the connection while the handler has it; internal/router sets Options.Fault, so that a fault there ends its connection and not the program. TestEndWithLeftovers panics without the change. And what one client could do to the others on the platform: uploads that never end held the bound on bytes for 2.5 s, so that all others got 503; the largest that is not whole gives way now (conns.Outweighs; TestGreedyUploads fails without).

--- a/control/conns/conns.go
+++ b/control/conns/conns.go
@@ -138,3 +138,10 @@
 func Memory(limit int64) (heap int64, bytes int) {
 	return limit * 6 / 10, int(limit * 2 / 10)
 }
+
+// Outweighs tells which of two requests that are not whole yet gives way first where the bytes
+// held reach their bound: the larger one, then the older connection's. So a few that send much
+// and never end give way to those that send what is usual, whoever came first.
+func Outweighs(bytes int, born time.Duration, otherBytes int, otherBorn time.Duration) bool {
+	return bytes > otherBytes || bytes == otherBytes && born < otherBorn
+}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -319,13 +319,16 @@
 	}
 }
 
-// deliver hands over what was left over.
+// deliver hands over what was left over. The handler may close the connection meanwhile, so the
+// buffer is not the connection's until it has returned.
 func (c *Conn) deliver() {
-	used := c.handler.Data(c, c.in)
-	if rest := copy(c.in, c.in[used:]); rest > 0 {
-		c.in = c.in[:rest]
+	in := c.in
+	c.in = nil
+	used := c.handler.Data(c, in)
+	if rest := copy(in, in[used:]); rest > 0 && !c.closed && !c.closeWhenSent {
+		c.in = in[:rest]
 	} else {
-		c.dropIn()
+		c.loop.pool.put(in)
 	}
 }
 
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -387,3 +387,48 @@
 func (w *teller) EOF(c *Conn)         { c.Close() }
 func (w *teller) Drained(*Conn)       {}
 func (w *teller) Closed(*Conn, error) {}
+
+// quitter takes nothing of the first bytes, and ends the connection on the next ones.
+type quitter struct {
+	echo
+	end func(*Conn)
+}
+
+func (q *quitter) Data(c *Conn, b []byte) int {
+	if len(b) < 4 {
+		return 0
+	}
+	q.events <- string(b)
+	q.end(c)
+	return len(b)
+}
+
+// TestEndWithLeftovers: a handler may end its connection while bytes are handed to it that it
+// left over before. It took the whole program down.
+func TestEndWithLeftovers(t *testing.T) {
+	l, do := start(t, Options{})
+	for name, end := range map[string]func(*Conn){"close": (*Conn).Close, "linger": (*Conn).CloseLingering, "abort": (*Conn).Abort, "reset": (*Conn).Reset} {
+		q := &quitter{echo{events: make(chan string, 4)}, end}
+		ln := listen(t, l, do, func(*Conn) Handler { return q })
+		c := dial(t, ln)
+		c.Write([]byte("ab"))
+		for kept := 0; kept == 0; {
+			do(func() {
+				for _, s := range l.fds {
+					if c, ok := s.(*Conn); ok && c.listener == ln {
+						kept = len(c.in)
+					}
+				}
+			})
+		}
+		c.Write([]byte("cd"))
+		if got := <-q.events; got != "abcd" {
+			t.Errorf("%s: %q", name, got)
+		}
+		c.CloseWrite()
+		c.SetDeadline(time.Now().Add(10 * time.Second))
+		if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -138,8 +138,7 @@
 		case http1.HeadDone:
 			f.head(&f.parser.Head)
 		case http1.Data:
-			if f.r.bytes+len(data) > f.r.budget.bytes {
-				f.dropBody()
+			if !f.room(len(data)) {
 				f.over(503, retryAfter(conns.FullPause), "too many bytes of requests at once")
 				return len(b)
 			}
@@ -157,6 +156,24 @@
 	return total
 }
 
+// room makes room for more of a body, if need be at the cost of the largest that is not whole
+// yet; false where that is this one, or there is none.
+func (f *front) room(n int) bool {
+	for f.r.bytes+n > f.r.budget.bytes {
+		var largest *front
+		for o := range f.r.fronts {
+			if o.x == nil && len(o.body) > 0 && (largest == nil || conns.Outweighs(len(o.body), o.born, len(largest.body), largest.born)) {
+				largest = o
+			}
+		}
+		if largest == nil || largest == f {
+			return false
+		}
+		largest.over(503, retryAfter(conns.FullPause), "too many bytes of requests at once")
+	}
+	return true
+}
+
 // head keeps what is needed of a request's head: it is gone when the content comes.
 func (f *front) head(h *http1.Head) {
 	f.keep, f.call = h.KeepAlive && !f.r.stopping, nil
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -443,6 +443,26 @@
 	w.look("and are closed in time", func() bool { return len(w.r.fronts) == 0 })
 }
 
+// TestGreedyUploads: clients that send most of large bodies and then nothing more don't take the
+// room for bytes from those that ask for little, and are ended in time.
+func TestGreedyUploads(t *testing.T) {
+	w := begin(t, "r1", "w1")
+	room := w.r.budget.bytes
+	for range room/(200<<10) + 10 {
+		c := w.dial()
+		text := w.chat("ask", "Content-Length: ", "Content-Length: 2620")
+		go io.WriteString(c, text+strings.Repeat("x", 200<<10))
+	}
+	w.look("the room is taken", func() bool { return w.r.bytes > room-300<<10 })
+	w.content = strings.Repeat("a", 150<<10)
+	for range 20 {
+		if a := w.ask(w.chat("ask")); a.code != 200 {
+			t.Fatal(a)
+		}
+	}
+	w.look("they are ended", func() bool { return w.r.bytes == 0 && len(w.r.fronts) == 0 })
+}
+
 // TestWrongStart: each mistake is named with its place.
 func TestWrongStart(t *testing.T) {
 	w := begin(t, "r1", "w1")
--- a/internal/platform/world_test.go
+++ b/internal/platform/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -175,6 +176,7 @@
 	order   []*request
 	rev     int
 	calls   int
+	content string // of a message, in the place of hello
 }
 
 func (w *world) log(r *request) { w.mu.Lock(); w.order = append(w.order, r); w.mu.Unlock() }
@@ -327,7 +329,7 @@
 // chat is a request's bytes; each has an id of its own.
 func (w *world) chat(class string, edits ...string) string {
 	w.calls++
-	body := `{"model":"chat","stream":true,"max_tokens":800,"messages":[{"role":"user","content":"hello"}]}`
+	body := `{"model":"chat","stream":true,"max_tokens":800,"messages":[{"role":"user","content":"` + cmp.Or(w.content, "hello") + `"}]}`
 	text := fmt.Sprintf("POST /v1/chat/completions?x=1 HTTP/1.1\r\nHost: api.internal\r\nContent-Type: application/json\r\nX-Call-Id: c%d\r\nX-Call-Class: %s\r\n"+
 		"X-Route-Hash: 7f3a9c21e0b4d655\r\nX-Budget: 4000m\r\nX-Call-Info: prefix=5c0f6e1a2b3d4c59,prompt_len=512,prefix_len=204,max_out=80\r\nContent-Length: %d\r\n\r\n%s",
 		w.calls, class, len(body), body)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -68,7 +69,9 @@
 
 // New opens the listener of a router. list is the first list of nodes.
 func New(cfg *config.Config, list []nodes.Node, log zerolog.Logger) (*Router, error) {
-	l, err := loop.New(loop.Options{})
+	l, err := loop.New(loop.Options{Fault: func(reason any) {
+		log.Error().Str("fault", fmt.Sprint(reason)).Bytes("stack", debug.Stack()).Msg("a fault ended one connection")
+	}})
 	if err != nil {
 		return nil, err
 	}
