--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -91,7 +91,7 @@
 		return nil, fmt.Errorf("PROXY_CONFIG: %s: known: not a list of servers", cfg.File)
 	}
 	if r.ln, err = r.loop.Listen(cfg.Listen, r.accept); err != nil {
-		return nil, fmt.Errorf("listen %s: %w", cfg.Listen, err)
+		return nil, fmt.Errorf("PROXY_CONFIG: %s: listen: %w", cfg.File, err)
 	}
 	r.ln.Max = conns.Hard(b.clients) // those closed to make room hold theirs until the turn ends
 	r.wake()
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"martenlock/control"
 )
 
@@ -479,6 +481,13 @@
 		}
 		w.conf[key] = was
 	}
+	w.conf["listen"] = w.r.Addr() // in use
+	w.save()
+	if cfg, err := LoadConfig(w.getenv); err != nil {
+		t.Error(err)
+	} else if _, err := New(cfg, zerolog.Nop()); err == nil || !strings.Contains(err.Error(), "listen") || !strings.Contains(err.Error(), w.path) {
+		t.Error(err)
+	}
 	w.conf["settings"] = map[string]any{"FamilyInfo": map[string]any{"KindRole": []string{"paint"}}}
 	w.save()
 	if _, err := LoadConfig(w.getenv); err == nil || !strings.Contains(err.Error(), "KindRole") {
