--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -36,8 +36,10 @@
 	if r.ln.Open() > r.budget.clients {
 		old, ok := r.idle.Victim()
 		if !ok {
+			r.noRoom++
 			return nil
 		}
+		r.madeRoom++
 		old.hangUp()
 	}
 	f := &front{r: r, c: c, parser: http1.NewRequests(&frontLimits), born: r.loop.Now()}
@@ -169,6 +171,7 @@
 		if largest == nil || largest == f {
 			return false
 		}
+		f.r.weighty++
 		largest.over(503, retryAfter(conns.FullPause), "too many bytes of requests at once")
 	}
 	return true
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -55,6 +55,7 @@
 	traceRequests bool
 
 	served, refused, failed, left, broken, spoilt, stalls, faults uint64
+	madeRoom, noRoom, weighty                                     uint64 // connections closed for others; turned away; uploads that gave way
 }
 
 // budget is what the limits allow.
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -52,7 +52,8 @@
 	}()
 	err = r.Run()
 	log.Info().Uint64("served", r.served).Uint64("refused", r.refused).Uint64("failed", r.failed).Uint64("left", r.left).
-		Uint64("broken", r.broken).Uint64("spoilt", r.spoilt).Uint64("stalls", r.stalls).Uint64("faults", r.faults).Msg("stopped")
+		Uint64("broken", r.broken).Uint64("spoilt", r.spoilt).Uint64("stalls", r.stalls).Uint64("faults", r.faults).
+		Uint64("made_room", r.madeRoom).Uint64("no_room", r.noRoom).Uint64("weighty", r.weighty).Msg("stopped")
 	_ = ring.Close()
 	return err
 }
--- a/internal/platform/trace.go
+++ b/internal/platform/trace.go
@@ -43,6 +43,8 @@
 
 func (r *Router) traceEngines() {
 	t := r.tracing
+	r.log.Info().Int("clients", r.ln.Open()).Int("fronts", len(r.fronts)).Int("requests", len(r.live)).Int("engine_connections", r.conns.Open()).
+		Int("bytes", r.bytes).Uint64("made_room", r.madeRoom).Uint64("no_room", r.noRoom).Uint64("weighty", r.weighty).Uint64("faults", r.faults).Msg("trace of clients")
 	maps.DeleteFunc(t.last, func(id control.ServerID, _ traffic) bool { return r.engines[id] == nil })
 	for _, id := range slices.Sorted(maps.Keys(r.engines)) {
 		e := r.engines[id]
