A read state's time runs on while writers can't be reached; repeats leave within their window

Ruled out: the let-go calls (answered within 10 ms of being asked for), silence of the reader, a withdrawn order. Cause: proceed's restedAt in control.go was set by every outcome, and next() tried writers without regard to it. On sockets an attempt whose connection never comes up takes nothing: the time runs on. Change: heldAt is not moved by what never got through; Send.Leave tells what is left of the pin limit, or of the window in which a keyed class's repeats are dropped, and upstream ends what has not left whole by then as not connected. Guards taken out on a scratch copy, each made its test fail: heldAt, the window, LeaveWithin in upstream and in exchange. TestReuse failed 1 time in 20 before this change too: it took an engine's sight of the old connection's end for the next thing seen; it now wants exactly request, connection, request (200 runs).

--- a/control/api.go
+++ b/control/api.go
@@ -245,6 +245,7 @@
 	ID      RequestID
 	Server  ServerID
 	Timeout time.Duration
+	Leave   time.Duration // what has not left whole by then is ConnectFailed; 0 for no other bound than Timeout
 }
 
 // Refuse is the final answer that says a retry is harmless.
--- a/control/control.go
+++ b/control/control.go
@@ -69,27 +69,28 @@
 // request is one client request while we owe an answer or an attempt is out.
 type request struct {
 	Request
-	class            *Class
-	session          *session
-	arrived, aim     Time // aim: first token wanted by then
-	seq              uint64
-	pos              int // in the heap; -1 outside
-	lifted           bool
-	ended            bool // answered; kept only while an attempt is out
-	attempts, most   int  // most: that it may have
-	lost             int  // attempts that ended with their connection: what crashes servers loses them all
-	out, started     bool // an attempt is out; its answer streams
-	recalled         bool // and is taken back
-	overtaken        int  // requests sent later to its server that were answered first
-	at               *server
-	sentAt, restedAt Time    // of the latest attempt: its start and its end
-	holder           *server // the reader whose memory holds the state
-	spent            time.Duration
-	toRead           float64   // tokens that its server has to read, as far as is known, or to fetch
-	need             float64   // tokens of writer memory
-	ranOn            *server   // where an attempt first may have had its effect,
-	ranAt            Time      // and when that was sent
-	shunned          []*server // failed it before
+	class          *Class
+	session        *session
+	arrived, aim   Time // aim: first token wanted by then
+	seq            uint64
+	pos            int // in the heap; -1 outside
+	lifted         bool
+	ended          bool // answered; kept only while an attempt is out
+	attempts, most int  // most: that it may have
+	lost           int  // attempts that ended with their connection: what crashes servers loses them all
+	out, started   bool // an attempt is out; its answer streams
+	recalled       bool // and is taken back
+	overtaken      int  // requests sent later to its server that were answered first
+	at             *server
+	sentAt         Time    // of the latest attempt
+	holder         *server // the reader whose memory holds the state
+	heldAt         Time    // since when, or the end of the latest attempt that got through to a writer
+	spent          time.Duration
+	toRead         float64   // tokens that its server has to read, as far as is known, or to fetch
+	need           float64   // tokens of writer memory
+	ranOn          *server   // where an attempt first may have had its effect,
+	ranAt          Time      // and when that was sent
+	shunned        []*server // failed it before
 }
 
 // session is a row of the session table.
@@ -542,7 +543,25 @@
 	if s.aside() {
 		s.nextTrial = r.now.Add(trialEvery)
 	}
-	r.do(Send{ID: q.ID, Server: s.ID, Timeout: max(q.Deadline.Sub(r.now), time.Millisecond)})
+	a := Send{ID: q.ID, Server: s.ID, Timeout: max(q.Deadline.Sub(r.now), time.Millisecond)}
+	if by := r.leaveBy(q); by < q.Deadline {
+		a.Leave = by.Sub(r.now)
+	}
+	r.do(a)
+}
+
+// leaveBy is when the last byte of a request's next attempt must have left. The dangers are a state that stays
+// pinned while one writer after another never comes up, and a repeat that comes when its engines have forgotten
+// the first: either way a connection that takes its time is no send yet.
+func (r *Router) leaveBy(q *request) Time {
+	by := Time(math.MaxInt64)
+	if q.holder != nil && r.set.PinLimit > 0 {
+		by = q.heldAt.Add(r.set.PinLimit)
+	}
+	if q.ranOn != nil && q.class.Effect == Keyed {
+		by = min(by, q.ranAt.Add(q.class.Window))
+	}
+	return by
 }
 
 func (r *Router) started(ev Started) {
@@ -565,7 +584,9 @@
 	q.out = false
 	s.out = slices.DeleteFunc(s.out, func(o *request) bool { return o == q })
 	r.book(s, q, -1)
-	q.restedAt = r.now
+	if ev.Result != ConnectFailed && ev.Result != Moot { // what never got through takes nothing
+		q.heldAt = r.now
+	}
 	r.report(s, ev.Report)
 	r.judge(q, s, ev)
 	if s.signAt = r.now; ev.Result == ReadDone {
@@ -608,7 +629,7 @@
 // state that none takes now rests at its reader until its pin limit is near.
 func (r *Router) next(q *request) {
 	turned := q.holder == nil && len(q.shunned) > 1 && r.turned[Reader] > turnedMost
-	if turned || q.attempts >= q.most || r.now >= q.Deadline || !r.mayRepeat(q) {
+	if turned || q.attempts >= q.most || r.now >= min(q.Deadline, r.leaveBy(q)) || !r.mayRepeat(q) {
 		r.giveUp(q)
 		return
 	}
@@ -624,7 +645,7 @@
 	switch {
 	case s != nil:
 		r.send(q, s)
-	case q.holder != nil && r.now.Add(2*tickEvery) < min(q.restedAt.Add(r.set.PinLimit), q.Deadline):
+	case q.holder != nil && r.now.Add(2*tickEvery) < min(q.heldAt.Add(r.set.PinLimit), q.Deadline):
 		r.resting = append(r.resting, q)
 	default:
 		r.giveUp(q)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -814,3 +814,47 @@
 		t.Errorf("an unsafe request at a writer: %v", back)
 	}
 }
+
+// TestStateIsNotPinnedWhileWritersStayOut: a state's time runs on while one writer after another
+// can't be reached, and each attempt is told what is left of it.
+func TestStateIsNotPinnedWhileWritersStayOut(t *testing.T) {
+	for class := range 3 {
+		s := start(t, settings(Reader, Writer), 0, 1, 1, 1, 1)
+		s.do(0, s.request(1, class))
+		acts := s.do(20*ms, Outcome{ID: 1, Server: 1, Result: ReadDone, Took: 20 * ms})
+		held := s.now
+		for attempt := 1; ; attempt++ {
+			sends := only[Send](acts)
+			if len(sends) == 0 {
+				break
+			}
+			if left := held.Add(500 * ms).Sub(s.now); sends[0].Leave != left || left <= 0 {
+				t.Fatalf("class %d, attempt %d: must leave in %v, and the state's time ends in %v", class, attempt, sends[0].Leave, left)
+			}
+			acts = s.do(min(sends[0].Leave, 200*ms), Outcome{ID: 1, Attempt: attempt, Server: sends[0].Server, Result: ConnectFailed})
+		}
+		if len(only[Release](acts)) == 0 || len(only[Refuse](acts)) != 1 || s.now > held.Add(500*ms) {
+			t.Errorf("class %d, %v after the read: %v", class, s.now.Sub(held), acts)
+		}
+	}
+	// A writer that turned it away was reached: the time begins anew.
+	s := start(t, settings(Reader, Writer), 0, 1, 1)
+	s.do(0, s.request(1, 0))
+	write := s.sent(s.do(20*ms, Outcome{ID: 1, Server: 1, Result: ReadDone, Took: 20 * ms}))
+	if again := s.sent(s.do(400*ms, Outcome{ID: 1, Attempt: 1, Server: write.Server, Result: Full})); again.Leave != 500*ms {
+		t.Errorf("after a writer's answer: must leave in %v", again.Leave)
+	}
+}
+
+// TestRepeatLeavesWithinItsWindow: a keyed request that may have run is sent again only as long
+// as its servers drop repeats, the time that a connection takes included.
+func TestRepeatLeavesWithinItsWindow(t *testing.T) {
+	s := start(t, settings(Mixed), 0, 0)
+	first := s.sent(s.do(0, s.request(1, 2)))
+	if first.Leave != 0 {
+		t.Errorf("a first attempt must leave in %v", first.Leave)
+	}
+	if again := s.sent(s.do(700*ms, Outcome{ID: 1, Server: first.Server, Result: Reset, Took: 700 * ms})); again.Leave != 300*ms {
+		t.Errorf("a repeat must leave in %v of the 300ms left", again.Leave)
+	}
+}
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -94,6 +94,7 @@
 	at.conn = conn
 	e.began(at)
 	r.loop.Start(&at.timer, a.Timeout)
+	conn.LeaveWithin(a.Leave)
 }
 
 // late ends an attempt that brought nothing in time. What had not left here can't have run.
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -509,3 +509,32 @@
 		}
 	})
 }
+
+// TestUnreachableWriters: a read state is let go of in time though no connection to any writer
+// comes up, whatever may be done with its request.
+func TestUnreachableWriters(t *testing.T) {
+	for i, class := range []string{"ask", "note", "ask"} {
+		w := begin(t, "r1", "w1", "w1", "w1", "w1")
+		if i == 2 { // also where a connection may take longer than a state may be held
+			w.on(func() { w.r.upstream.ConnectTimeout = 5 * time.Second })
+		}
+		var entries []string
+		for _, e := range w.engines[1:] {
+			e.elsewhere = unreachable(t)
+			entries = append(entries, e.entry("in_service", 0))
+		}
+		w.change(entries...)
+		w.look("the list is taken", func() bool { return w.r.table.Revision() == uint64(w.rev) })
+		a := w.ask(w.chat(class))
+		if a.code != 503 {
+			t.Errorf("%s: %d %s", class, a.code, a.body)
+		}
+		w.until("let go", func() bool { return w.deleted("c1") })
+		w.mu.Lock()
+		read, freed := w.order[0], w.order[len(w.order)-1]
+		w.mu.Unlock()
+		if took := freed.at.Sub(read.at); read.method != "POST" || freed.method != "DELETE" || took > 800*time.Millisecond {
+			t.Errorf("%s: held for %v", class, took)
+		}
+	}
+}
--- a/internal/platform/world_test.go
+++ b/internal/platform/world_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 )
 
 // request is what a scripted engine got.
@@ -23,6 +24,7 @@
 	engine                           *scripted
 	conn                             net.Conn
 	method, target, id, budget, body string
+	at                               time.Time
 }
 
 // scripted is an engine that does what its script says.
@@ -30,6 +32,7 @@
 	w          *world
 	ln         net.Listener
 	id, flavor string
+	elsewhere  string // the address that the list gives, where it is another
 	mu         sync.Mutex
 	script     func(*request) (goOn bool)
 	seen       []*request
@@ -58,7 +61,7 @@
 				if err != nil {
 					return
 				}
-				r := &request{e, c, h.Method, h.RequestURI, h.Header.Get("X-Call-Id"), h.Header.Get("X-Budget"), string(body)}
+				r := &request{e, c, h.Method, h.RequestURI, h.Header.Get("X-Call-Id"), h.Header.Get("X-Budget"), string(body), time.Now()}
 				e.mu.Lock()
 				e.seen = append(e.seen, r)
 				script := e.script
@@ -72,6 +75,33 @@
 	}
 }
 
+// unreachable is an address of this machine on which no connection ever comes up: the backlog of
+// a listener that accepts nothing is full.
+func unreachable(t *testing.T) string {
+	t.Helper()
+	must := func(err error) {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	must(err)
+	t.Cleanup(func() { unix.Close(fd) })
+	must(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	must(unix.Listen(fd, 0))
+	sa, err := unix.Getsockname(fd)
+	must(err)
+	for range 2 {
+		c, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+		must(err)
+		t.Cleanup(func() { unix.Close(c) })
+		if err := unix.Connect(c, sa); err != unix.EINPROGRESS {
+			must(err)
+		}
+	}
+	return fmt.Sprintf("127.0.0.1:%d", sa.(*unix.SockaddrInet4).Port)
+}
+
 func (e *scripted) do(script func(*request) bool) { e.mu.Lock(); e.script = script; e.mu.Unlock() }
 
 func (r *request) say(text string) bool { _, err := io.WriteString(r.conn, text); return err == nil }
@@ -265,7 +295,7 @@
 // entry is an engine as the list has it.
 func (e *scripted) entry(phase string, since int64) string {
 	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"a","flavor":%q,"cell":1,"phase":%q,"size":1.0,"up_since_ms":%d}`,
-		e.id, e.ln.Addr(), e.flavor, phase, since)
+		e.id, cmp.Or(e.elsewhere, e.ln.Addr().String()), e.flavor, phase, since)
 }
 
 func (w *world) list() string {
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -96,6 +96,7 @@
 	}
 	at.conn = conn
 	r.loop.Start(&at.timer, a.Timeout)
+	conn.LeaveWithin(a.Leave)
 }
 
 func (a *attempt) Connected() { a.sent = true }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -96,7 +96,8 @@
 	sink   Sink // nil while idle
 	dialed bool // the connection stands
 	timer  wheel.Timer
-	linger bool // the response at hand allows another request
+	leave  wheel.Timer // until the request must have left
+	linger bool        // the response at hand allows another request
 
 	restedAt time.Duration // since when it rests
 	rested   time.Duration // before the request at hand
@@ -249,7 +250,22 @@
 // Written tells whether the request's last byte has left this process.
 func (k *Conn) Written() bool { return k.dialed && k.c.Unsent() == 0 && k.c.Lost() == 0 }
 
+// LeaveWithin ends the request as not sent where its last byte has not left this process
+// within d; 0 sets no bound.
+func (k *Conn) LeaveWithin(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	k.leave.Fire = func() {
+		if k.sink != nil && !k.Written() {
+			k.fail("")
+		}
+	}
+	k.p.Loop.Start(&k.leave, d)
+}
+
 func (k *Conn) ended() {
+	k.p.Loop.Stop(&k.leave)
 	delete(k.p.conns, k)
 	k.p.Budget.open--
 	if k.p.Lost != nil {
@@ -296,6 +312,7 @@
 		case http1.End:
 			s := k.sink
 			k.sink = nil
+			k.p.Loop.Stop(&k.leave)
 			if k.linger && !k.p.Gone && c.Unsent() == 0 {
 				k.c.Resume()
 				k.restedAt = k.p.Loop.Now()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"martenlock/internal/http1"
 	"martenlock/internal/loop"
+	"martenlock/internal/wheel"
 )
 
 // taker notes how a request went.
@@ -22,7 +24,12 @@
 func (s *taker) Head(*http1.Head) {}
 func (s *taker) Data([]byte)      {}
 func (s *taker) End()             { s.ended <- Break{} }
-func (s *taker) Broken(how Break) { s.ended <- how }
+func (s *taker) Broken(how Break) {
+	select {
+	case s.ended <- how:
+	default:
+	}
+}
 
 // world is a pool on a loop, beside an engine that answers every request and then does as told.
 type world struct {
@@ -138,16 +145,16 @@
 		if how := w.ask(false); how != (Break{}) {
 			t.Fatal(how)
 		}
-		for seen := []string{}; ; { // the next request comes on a new connection
-			s := <-w.seen
-			if seen = append(seen, s); s == "connection" {
-				w.expect("request")
-				break
-			}
-			if len(seen) > 3 {
-				t.Fatal(seen)
+		// The next request comes on a new connection. The engine may see the old one's end at any point.
+		var seen []string
+		for len(seen) < 3 {
+			if what := <-w.seen; what != "gone" {
+				seen = append(seen, what)
 			}
 		}
+		if !slices.Equal(seen, []string{"request", "connection", "request"}) {
+			t.Fatal(seen)
+		}
 	}
 }
 
@@ -198,3 +205,34 @@
 		t.Error(how)
 	}
 }
+
+// TestLeaveWithin: a request that has not left in its time is given up as not sent, however long
+// a connection may take; one that has left is not.
+func TestLeaveWithin(t *testing.T) {
+	w := begin(t, Options{Idle: time.Minute, PerEngine: 9})
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // takes the connection and reads nothing of it
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	full := &Pool{Loop: w.l, Options: w.pool.Options, Budget: w.pool.Budget, Addr: netip.MustParseAddrPort(ln.Addr().String())}
+	for _, c := range []struct {
+		body int
+		want Break
+	}{{0, Break{Reason: "not ended"}}, {32 << 20, Break{Dialed: true}}} { // more than the system's buffers hold
+		s := &taker{make(chan Break, 1)}
+		w.on(func() {
+			k, err := full.Start(s, []byte("POST / HTTP/1.1\r\n\r\n"), make([]byte, c.body), false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			k.LeaveWithin(150 * time.Millisecond)
+			var later wheel.Timer
+			later.Fire = func() { s.Broken(Break{Reason: "not ended"}) }
+			w.l.Start(&later, 300*time.Millisecond)
+		})
+		if how := <-s.ended; how != c.want {
+			t.Errorf("body of %d: %+v", c.body, how)
+		}
+	}
+}
