Discovery: calls overlap, messages in any layout, old lists end servers at once, starts are stable

Now a watch must bring something whole each 2.5 s (heartbeats come each 2 s), calls overlap at 50 to 200 ms while none has answered, so that none that hangs keeps another waiting: 5.2 s in the worst case (membership.TestTold). - Messages were split at line ends: an indented list began the watch anew for ever.

--- a/internal/platform/codec.go
+++ b/internal/platform/codec.go
@@ -154,10 +154,13 @@
 	return time.Duration(d), nil
 }
 
-// appendBudget writes how long an engine has, rounded up.
+// appendBudget writes how long an engine has, rounded down: never more than is left.
 func appendBudget(b []byte, d time.Duration) []byte {
-	ms := (max(d, time.Millisecond) + time.Millisecond - 1) / time.Millisecond
-	return append(strconv.AppendInt(append(b, "X-Budget: "...), int64(ms), 10), "m\r\n"...)
+	b = append(b, "X-Budget: "...)
+	if d < time.Millisecond {
+		return append(strconv.AppendInt(b, max(d.Microseconds(), 1), 10), "u\r\n"...)
+	}
+	return append(strconv.AppendInt(b, d.Milliseconds(), 10), "m\r\n"...)
 }
 
 // verdict is what an engine's whole answer without a stream means.
@@ -233,6 +236,51 @@
 	return 0
 }
 
+// messages cuts a stream of JSON objects into objects, however they are laid out over lines and
+// pieces. Between two of them a line may be empty.
+type messages struct {
+	most   int    // bytes of one object
+	text   []byte // of the object at hand, as far as it came in earlier pieces
+	depth  int
+	quoted bool
+	escape bool
+}
+
+// next returns how many bytes of b it used, and the object that ends there, or nil. blank tells
+// that an empty line ended there instead. ok is false where no object can come of it.
+func (m *messages) next(b []byte) (used int, object []byte, blank, ok bool) {
+	from := 0
+	for i, c := range b {
+		switch {
+		case m.escape:
+			m.escape = false
+		case m.quoted:
+			m.escape, m.quoted = c == '\\', c != '"'
+		case m.depth == 0 && c == '\n':
+			return i + 1, nil, true, true
+		case m.depth == 0 && (c == ' ' || c == '\t' || c == '\r'):
+		case m.depth == 0 && c != '{':
+			return i, nil, false, false
+		case c == '"':
+			m.quoted = true
+		case c == '{' || c == '[':
+			if m.depth++; m.depth == 1 {
+				from = i
+			}
+		case c == '}' || c == ']':
+			if m.depth--; m.depth == 0 {
+				object = append(m.text, b[from:i+1]...)
+				m.text = nil
+				return i + 1, object, false, len(object) <= m.most
+			}
+		}
+	}
+	if m.depth > 0 {
+		m.text = append(m.text, b[from:]...)
+	}
+	return len(b), nil, false, len(m.text) <= m.most
+}
+
 // lists is discovery's message.
 type lists struct {
 	Revision uint64   `json:"revision"`
@@ -273,16 +321,14 @@
 		}
 		addr, wrong := netip.ParseAddrPort(m.HostPort)
 		s.Addr = addr
-		switch {
+		switch ends := s.State != control.Ready; { // an end holds, whatever else of its entry is spoilt
 		case m.ID == "":
 			err = errors.Join(err, errors.New("an entry without id"))
 			continue
-		case s.State != control.Gone && wrong != nil:
+		case !ends && wrong != nil:
 			err = errors.Join(err, fmt.Errorf("%.60q: host_port: %.60q is no address", m.ID, m.HostPort))
 			continue
-		case s.Kind < 0 && s.State == control.Gone:
-			s.Kind = 0
-		case s.Kind < 0:
+		case !ends && s.Kind < 0:
 			err = errors.Join(err, fmt.Errorf("%.60q: flavor: unknown %.40q", m.ID, m.Flavor))
 			continue
 		}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -1,148 +1,194 @@
 package platform
 
 import (
-	"bytes"
 	"encoding/json"
 	"math"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
+	"martenlock/control"
+	"martenlock/control/membership"
 	"martenlock/internal/http1"
 	"martenlock/internal/loop"
 	"martenlock/internal/wheel"
 )
 
-const (
-	watchSilence  = 5 * time.Second // an empty line is due each 2 s
-	watchRetry    = 50 * time.Millisecond
-	watchRetryMax = time.Second
-	mostLine      = 4 << 20 // bytes of one message
-)
+// discovery follows the list of servers at one address: one watch that stands, or else calls
+// that are to become it.
+type discovery struct {
+	r     *Router
+	addr  netip.AddrPort
+	watch *watch   // that stands
+	calls []*watch // that have not brought anything whole yet, the oldest first
+	next  wheel.Timer
+	pause time.Duration
+	ended bool
+}
 
-// watch follows discovery at one address, again and again.
+// watch is one call of discovery's, a long poll.
 type watch struct {
-	r      *Router
-	addr   netip.AddrPort
-	conn   *loop.Conn
-	parser *http1.Parser
-	line   []byte
-	status int
-	timer  wheel.Timer // of silence while connected, else until the next try
-	pause  time.Duration
-	ended  bool
+	d        *discovery
+	conn     *loop.Conn
+	parser   *http1.Parser
+	messages messages
+	silence  wheel.Timer // until it counts as broken
+	stands   time.Duration
+	over     bool
 }
 
 var watchLimits = http1.Limits{Line: 4096, Headers: 16 << 10, Fields: 64, Body: math.MaxInt64 / 2}
 
+// follow leaves the discovery at hand for the one at an address.
 func (r *Router) follow(addr netip.AddrPort) {
-	if r.watch != nil {
-		r.watch.end()
+	if r.discovery != nil {
+		r.discovery.end()
 	}
-	r.watch = &watch{r: r, addr: addr}
-	r.watch.dial()
+	d := &discovery{r: r, addr: addr}
+	d.next.Fire = d.call
+	r.discovery = d
+	d.call()
 }
 
-func (w *watch) end() {
-	w.ended = true
-	w.r.loop.Stop(&w.timer)
-	if w.conn != nil {
-		w.conn.Abort()
-		w.conn = nil
+func (d *discovery) end() {
+	d.ended = true
+	d.r.loop.Stop(&d.next)
+	if d.watch != nil {
+		d.watch.drop()
+	}
+	for _, w := range slices.Clone(d.calls) {
+		w.drop()
 	}
 }
 
-func (w *watch) dial() {
-	w.parser, w.line, w.status = http1.NewResponses(&watchLimits), nil, 0
-	c, err := w.r.loop.Dial(w.addr, w)
-	if err != nil {
-		w.again()
+// call makes one more call, and sees to the next.
+func (d *discovery) call() {
+	if d.ended || d.watch != nil {
 		return
 	}
-	w.conn = c
-	b := http1.AppendRequest(nil, "GET", "/v1/servers?follow=1&since="+strconv.FormatUint(w.r.table.Revision(), 10))
-	b = http1.AppendField(b, "Host", w.addr.String())
-	c.Write(append(b, "\r\n"...))
-	w.listen()
+	if len(d.calls) >= membership.Calls {
+		d.calls[0].drop()
+	}
+	w := &watch{d: d, parser: http1.NewResponses(&watchLimits), messages: messages{most: d.r.budget.bytes / (2 * membership.Calls)}}
+	if c, err := d.r.loop.Dial(d.addr, w); err != nil {
+		w.over = true
+		d.r.warn("discovery: no connection", err)
+	} else {
+		w.conn = c
+		d.calls = append(d.calls, w)
+		b := http1.AppendRequest(nil, "GET", "/v1/servers?follow=1&since="+strconv.FormatUint(d.r.table.Revision(), 10))
+		b = http1.AppendField(b, "Host", d.addr.String())
+		c.Write(append(b, "\r\n"...))
+	}
+	d.again()
 }
 
-func (w *watch) listen() {
-	w.timer.Fire = w.again
-	w.r.loop.Start(&w.timer, watchSilence)
+// again sees to the next call.
+func (d *discovery) again() {
+	if !d.ended && !d.next.Set() {
+		d.pause = membership.Backoff(d.pause)
+		d.r.loop.Start(&d.next, d.pause)
+	}
+}
+
+// drop ends the call: nothing that it brings is taken any more.
+func (w *watch) drop() {
+	if w.over {
+		return
+	}
+	w.over = true
+	d := w.d
+	d.r.loop.Stop(&w.silence)
+	w.conn.Abort()
+	if d.watch == w {
+		d.watch = nil
+		if d.r.loop.Now()-w.stands >= membership.Settled {
+			d.pause = 0
+		}
+	}
+	d.calls = slices.DeleteFunc(d.calls, func(o *watch) bool { return o == w })
 }
 
-// again ends the watch at hand and makes another after a while.
-func (w *watch) again() {
-	if w.ended {
+// fail ends a call that is no use, and sees to the next.
+func (w *watch) fail(why string) {
+	if w.over {
 		return
 	}
-	if w.conn != nil {
-		w.conn.Abort()
-		w.conn = nil
+	w.drop()
+	if why != "" {
+		w.d.r.warn("discovery: "+why, nil)
+	}
+	w.d.again()
+}
+
+// alive takes in that something whole has come: the call is the watch from now on.
+func (w *watch) alive() {
+	d := w.d
+	if d.watch != w {
+		d.watch, w.stands = w, d.r.loop.Now()
+		d.r.loop.Stop(&d.next)
+		for _, o := range slices.Clone(d.calls) {
+			if o != w {
+				o.drop()
+			}
+		}
+		d.calls = nil
 	}
-	w.pause = min(max(2*w.pause, watchRetry), watchRetryMax)
-	w.timer.Fire = w.dial
-	w.r.loop.Start(&w.timer, w.pause)
+	w.listen()
+}
+
+// listen begins the time in which something whole must come.
+func (w *watch) listen() {
+	w.silence.Fire = func() { w.fail("the watch fell silent") }
+	w.d.r.loop.Start(&w.silence, membership.Silence)
 }
 
 // Opened and the others are the loop's.
 func (w *watch) Opened(*loop.Conn)        {}
 func (w *watch) Drained(*loop.Conn)       {}
-func (w *watch) EOF(*loop.Conn)           { w.again() }
-func (w *watch) Closed(*loop.Conn, error) { w.conn = nil; w.again() }
+func (w *watch) EOF(*loop.Conn)           { w.fail("") }
+func (w *watch) Closed(*loop.Conn, error) { w.fail("") }
 
-func (w *watch) Data(c *loop.Conn, b []byte) int {
-	w.listen()
+func (w *watch) Data(_ *loop.Conn, b []byte) int {
 	for total := 0; ; {
 		used, kind, data, err := w.parser.Next(b[total:])
 		total += used
 		switch {
-		case err != nil || kind == http1.End:
-			w.again()
-			return len(b)
+		case err != nil:
+			w.fail("an answer that can't be read: " + err.Reason)
 		case kind == http1.More:
 			return total
+		case kind == http1.End:
+			w.fail("")
+		case kind == http1.HeadDone && w.parser.Head.Status != 200:
+			w.fail("status " + strconv.Itoa(w.parser.Head.Status))
 		case kind == http1.HeadDone:
-			if w.status = w.parser.Head.Status; w.status != 200 {
-				w.again()
-				return len(b)
-			}
+			// It has reached discovery, which answers at once: what comes on it now is the list, or
+			// nothing for as long as nothing changes. No further call is of use meanwhile.
+			w.listen()
+			w.d.r.loop.Stop(&w.d.next)
 		case kind == http1.Data:
-			if !w.take(data) {
-				w.r.log.Warn().Msg("discovery: a message that can't be read; the watch begins anew")
-				w.again()
-				return len(b)
-			}
+			w.take(data)
+		}
+		if w.over {
+			return len(b)
 		}
 	}
 }
 
-// take takes the bytes of messages, one a line.
-func (w *watch) take(b []byte) bool {
-	for len(b) > 0 {
-		i := bytes.IndexByte(b, '\n')
-		if i < 0 {
-			if len(w.line)+len(b) > mostLine {
-				return false
-			}
-			w.line = append(w.line, b...)
-			return true
-		}
-		line := b[:i]
-		if len(w.line) > 0 {
-			line, w.line = append(w.line, line...), nil
-		}
-		b = b[i+1:]
-		if line = bytes.TrimSpace(line); len(line) == 0 {
-			w.pause = 0
-			continue
-		}
-		if !w.r.told(line) {
-			return false
+// take takes the bytes of messages.
+func (w *watch) take(b []byte) {
+	for len(b) > 0 && !w.over {
+		used, object, blank, ok := w.messages.next(b)
+		b = b[used:]
+		switch {
+		case !ok || object != nil && !w.d.r.told(object):
+			w.fail("a message that can't be read; the watch begins anew")
+		case object != nil || blank:
+			w.alive()
 		}
-		w.pause = 0
 	}
-	return true
 }
 
 // told takes one message of discovery; false where it can't be read.
@@ -153,14 +199,39 @@
 	}
 	list, err := l.list(&r.cfg.Settings, r.at)
 	if err != nil {
-		r.log.Warn().Err(err).Msg("discovery: entries left out")
+		r.warn("discovery: entries left out", err)
 	}
 	ev, news, err := r.table.Apply(r.now(), list)
 	if err != nil {
-		r.log.Warn().Err(err).Msg("discovery: list not taken")
+		r.warn("discovery: list not taken", err)
 	}
+	r.learnt(ev, news)
+	return true
+}
+
+// listTurn looks what the passing of time makes of the list.
+func (r *Router) listTurn() { r.learnt(r.table.Turn(r.now())) }
+
+func (r *Router) learnt(ev control.Fleet, news bool) {
 	if news {
 		r.fleet(ev)
 	}
-	return true
+	r.loop.Stop(&r.counted)
+	if at, ok := r.table.Next(); ok {
+		r.loop.Start(&r.counted, at.Sub(r.now()))
+	}
 }
+
+const warnEvery = 10 * time.Second
+
+// warn logs what may go on for long once in a while.
+func (r *Router) warn(what string, err error) {
+	now := r.loop.Now()
+	if last, ok := r.warned[what]; ok && now-last < warnEvery || len(r.warned) >= mostWarned {
+		return
+	}
+	r.warned[what] = now
+	r.log.Warn().Err(err).Msg(what)
+}
+
+const mostWarned = 64 // kinds of warnings; some name a status
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -48,17 +48,29 @@
 			r.engine(m)
 		}
 	}
-	var ready []control.ServerID
+	var ready, draining []control.ServerID
 	for id, e := range r.engines {
 		m, ok := r.table.Get(id)
 		if ok && m.State == control.Ready {
 			ready = append(ready, id)
+			continue
 		}
-		if e.Gone = !ok; !ok {
+		for at := range e.out { // a send counts from its first byte: none may leave later
+			if at.conn != nil {
+				at.conn.LeaveWithin(max(r.cfg.Settings.Control.DrainGrace, time.Millisecond))
+			}
+		}
+		if ok {
+			draining = append(draining, id)
+		} else {
+			e.Gone = true
 			e.DropIdle()
 			e.forget()
 		}
 	}
+	if len(ready) == 0 { // they finish what they have, and let go of it too
+		ready = draining
+	}
 	r.letgo.Listed(ready)
 }
 
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -49,8 +49,9 @@
 	role     control.Role
 	conn     *upstream.Conn
 	since    time.Duration
-	timer    wheel.Timer // until the first event
-	stall    wheel.Timer // between events
+	until    time.Duration // when it is given up
+	timer    wheel.Timer   // until the first event
+	stall    wheel.Timer   // between events
 	status   int
 	rejected bool
 	kept     bool   // lost with a connection that had rested
@@ -66,7 +67,7 @@
 func (x *exchange) send(a control.Send) {
 	r := x.r
 	e := r.engines[a.Server]
-	at := &attempt{x: x, number: x.attempts, e: e, server: a.Server, since: r.loop.Now()}
+	at := &attempt{x: x, number: x.attempts, e: e, server: a.Server, since: r.loop.Now(), until: r.loop.Now() + a.Timeout}
 	x.attempts++
 	x.at = at
 	if e == nil || x.f == nil {
@@ -77,15 +78,8 @@
 		x.held, x.doubt = true, true
 	}
 	at.role = r.cfg.Settings.Control.KindRole[e.kind]
-	head := http1.AppendRequest(make([]byte, 0, 320), "POST", x.call.target)
-	head = http1.AppendField(head, "Host", "api.internal")
-	head = http1.AppendField(head, "X-Call-Id", x.call.name)
-	if x.call.kind != "" {
-		head = http1.AppendField(head, "Content-Type", x.call.kind)
-	}
-	head = appendBudget(head, a.Timeout)
 	at.timer.Fire = at.late
-	conn, err := e.Start(at, http1.AppendLength(head, len(x.body)), x.body, at.role != control.Reader && r.cfg.Settings.Control.Classes[x.call.ev.Class].Effect != control.Safe)
+	conn, err := e.Start(at, nil, x.body, at.role != control.Reader && r.cfg.Settings.Control.Classes[x.call.ev.Class].Effect != control.Safe)
 	if err != nil {
 		r.log.Warn().Err(err).Str("engine", e.name).Msg("not sent")
 		at.finish(control.Moot, 0, false)
@@ -97,6 +91,19 @@
 	conn.LeaveWithin(a.Leave)
 }
 
+// RequestHead makes the request's head as late as may be: it tells the time that is left.
+func (a *attempt) RequestHead() []byte {
+	x := a.x
+	head := http1.AppendRequest(make([]byte, 0, 320), "POST", x.call.target)
+	head = http1.AppendField(head, "Host", "api.internal")
+	head = http1.AppendField(head, "X-Call-Id", x.call.name)
+	if x.call.kind != "" {
+		head = http1.AppendField(head, "Content-Type", x.call.kind)
+	}
+	head = appendBudget(head, a.until-x.r.loop.Now())
+	return http1.AppendLength(head, len(x.body))
+}
+
 // late ends an attempt that brought nothing in time. What had not left here can't have run.
 func (a *attempt) late() {
 	if a.conn != nil && !a.conn.Written() {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -34,7 +34,9 @@
 	spare         []control.Event
 	pending       bool
 	table         membership.Table
-	watch         *watch
+	discovery     *discovery
+	counted       wheel.Timer // until an out-of-date list may count
+	warned        map[string]time.Duration
 	letgo         *letgo.Book
 	reuse         reuse.Book
 	held          wheel.Timer // until the book of what is held has something to do
@@ -79,7 +81,7 @@
 func New(cfg *Config, log zerolog.Logger) (*Router, error) {
 	b := newBudget(cfg.Limits)
 	r := &Router{cfg: cfg, budget: b, log: log, engines: map[control.ServerID]*engine{}, fronts: map[*front]struct{}{},
-		live: map[control.RequestID]*exchange{}, names: map[string]*exchange{}, letgo: letgo.New(cfg.Settings.Control.PinLimit)}
+		live: map[control.RequestID]*exchange{}, names: map[string]*exchange{}, warned: map[string]time.Duration{}, letgo: letgo.New(cfg.Settings.Control.PinLimit)}
 	var err error
 	if r.loop, err = loop.New(loop.Options{HighMark: 32 << 10, MaxOutput: 1 << 20, Kept: b.bytes / 16, Fault: r.fault}); err != nil {
 		return nil, err
@@ -88,6 +90,7 @@
 		ConnectTimeout: cfg.Settings.Control.ConnectTimeout, Idle: conns.EngineIdle(cfg.Settings.ConnIdle), PerEngine: b.engines, Total: b.engines, Trust: trust{r}}
 	r.ctl = control.New(cfg.Settings.Control, r.now())
 	r.held.Fire = r.wake
+	r.counted.Fire = r.listTurn
 	if len(cfg.Known) > 0 && !r.told(cfg.Known) {
 		return nil, fmt.Errorf("PROXY_CONFIG: %s: known: not a list of servers", cfg.File)
 	}
@@ -115,16 +118,14 @@
 // now is the module's clock.
 func (r *Router) now() control.Time { return clockStart.Add(r.loop.Now()) }
 
-// at is a point of Unix time in milliseconds on the module's clock; 0 for long ago.
+// at is a point of Unix time in milliseconds on the module's clock; 0 for long ago. It is the
+// same each time that a list tells it, or an engine would seem to have started anew.
 func (r *Router) at(ms int64) control.Time {
-	if ms <= 0 {
+	at := int64(clockStart) + ms*1000 - r.loop.Origin().UnixMicro()
+	if ms <= 0 || at <= 0 {
 		return 0
 	}
-	ago := time.Since(time.UnixMilli(ms))
-	if at := time.Duration(clockStart)*time.Microsecond + time.Since(r.loop.Origin()) - max(ago, 0); at > 0 {
-		return control.Time(at / time.Microsecond)
-	}
-	return 0
+	return min(control.Time(at), r.now()) // nothing has started yet that will
 }
 
 // newID returns a request id that no live request has.
@@ -227,7 +228,7 @@
 		}
 		r.loop.Post(func() {
 			r.log.Info().Str("discovery", cfg.Discovery.String()).Msg("configuration taken")
-			if cfg.Discovery != r.watch.addr {
+			if cfg.Discovery != r.discovery.addr {
 				r.follow(cfg.Discovery)
 			}
 		})
@@ -268,7 +269,7 @@
 // drain waits until nothing is owed any more.
 func (r *Router) drain() {
 	if len(r.fronts) == 0 && len(r.live) == 0 && r.letgo.Len() == 0 && r.ln.Open() == 0 {
-		r.watch.end()
+		r.discovery.end()
 		r.loop.Shut()
 		return
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -538,3 +538,72 @@
 		}
 	}
 }
+
+// TestDrainWhileConnecting: a request whose connection has not come up when its engine's drain
+// grace ends never leaves for it.
+func TestDrainWhileConnecting(t *testing.T) {
+	w := begin(t, "r1", "w1", "w1")
+	w.engines[1].elsewhere = unreachable(t)
+	w.on(func() {
+		w.r.upstream.ConnectTimeout, w.r.cfg.Settings.Control.DrainGrace = 5*time.Second, 100*time.Millisecond
+		w.r.ctl = control.New(func() control.Settings { s := w.r.cfg.Settings.Control; s.PinLimit = 10 * time.Second; return s }(), w.r.now())
+	})
+	w.change(w.engines[0].entry("in_service", 0), w.engines[1].entry("in_service", 0), w.engines[2].entry("terminating", 0))
+	w.look("one writer is left", func() bool { return w.r.table.Revision() == 2 })
+	c := w.dial()
+	io.WriteString(c, w.chat("note"))
+	out := func() (n int) {
+		for _, e := range w.r.engines {
+			if e.name == w.engines[1].elsewhere {
+				n = len(e.out)
+			}
+		}
+		return n
+	}
+	w.look("it connects", func() bool { return out() == 1 })
+	w.change(w.engines[1].entry("terminating", 0), w.engines[2].entry("in_service", 0))
+	w.look("it is ended", func() bool { return out() == 0 })
+	if a := read(bufio.NewReader(c)); a.code != 200 || w.posts()[2] != 1 { // by the other one
+		t.Error(a.code, w.posts())
+	}
+}
+
+// TestTimeTold: no attempt tells its engine more time than its client has left, whatever came
+// before it.
+func TestTimeTold(t *testing.T) {
+	for _, c := range []struct {
+		left time.Duration
+		want string
+	}{{2500 * time.Microsecond, "2m"}, {time.Second, "1000m"}, {999 * time.Microsecond, "999u"}, {0, "1u"}, {-time.Second, "1u"}} {
+		if got := string(appendBudget(nil, c.left)); got != "X-Budget: "+c.want+"\r\n" {
+			t.Errorf("%v: %q", c.left, got)
+		}
+	}
+	w := begin(t, "r1", "w1", "w1")
+	const late = 150 * time.Millisecond
+	w.engines[0].do(func(r *request) bool { time.Sleep(late); return good(r) })
+	for _, e := range w.engines[1:] {
+		e.do(func(r *request) bool { time.Sleep(late); return r.say(status(503, "X-Rejected: 1\r\n")) })
+	}
+	since := time.Now()
+	w.ask(w.chat("ask"))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	posts := 0
+	for _, r := range w.order {
+		if r.method != "POST" {
+			continue
+		}
+		told, err := time.ParseDuration(r.budget + "s") // 3849m: milliseconds
+		if err != nil {
+			t.Fatal(r.budget, err)
+		}
+		if left := 4*time.Second - time.Duration(posts)*late; told > left || told < 3*time.Second || r.at.Sub(since) < time.Duration(posts)*late {
+			t.Errorf("attempt %d told %v, %v are left", posts, told, left)
+		}
+		posts++
+	}
+	if posts < 3 {
+		t.Errorf("%d attempts", posts)
+	}
+}
--- a/internal/platform/world_test.go
+++ b/internal/platform/world_test.go
@@ -159,7 +159,8 @@
 	watches []net.Conn
 	since   []string
 	first   string // the body's first piece on each watch
-	closed  bool
+	script  func(c net.Conn, call int) (answer bool)
+	at      []time.Time // of the calls
 }
 
 func (a *agent) serve(w *world) {
@@ -178,6 +179,11 @@
 			a.mu.Lock()
 			a.watches = append(a.watches, c)
 			a.since = append(a.since, h.URL.Query().Get("since"))
+			a.at = append(a.at, time.Now())
+			if a.script != nil && !a.script(c, len(a.watches)) {
+				a.mu.Unlock()
+				return
+			}
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk(a.first+"\n"))
 			a.mu.Unlock()
 		}()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -52,6 +52,10 @@
 	Broken(how Break)
 }
 
+// Late is a Sink whose request gets its head when the connection stands: it tells how much
+// time is left. The head given to Start is left out then.
+type Late interface{ RequestHead() []byte }
+
 // Break is how a connection ended that had a response to bring.
 type Break struct {
 	Dialed  bool   // it stood
@@ -90,14 +94,18 @@
 
 // Conn is one connection to an engine; it has one request at a time.
 type Conn struct {
-	p      *Pool
-	c      *loop.Conn
-	parser *http1.Parser
-	sink   Sink // nil while idle
-	dialed bool // the connection stands
-	timer  wheel.Timer
-	leave  wheel.Timer // until the request must have left
-	linger bool        // the response at hand allows another request
+	p       *Pool
+	c       *loop.Conn
+	parser  *http1.Parser
+	sink    Sink // nil while idle
+	addr    netip.AddrPort
+	head    []byte // of the request that waits for the connection
+	body    []byte
+	dialed  bool // the connection stands
+	timer   wheel.Timer
+	leave   wheel.Timer // until the request must have left
+	leaveBy time.Duration
+	linger  bool // the response at hand allows another request
 
 	restedAt time.Duration // since when it rests
 	rested   time.Duration // before the request at hand
@@ -115,19 +123,29 @@
 			return nil, err
 		}
 	}
-	k.sink = s
-	k.c.Write(head)
-	if len(body) > 16<<10 {
-		k.c.WriteRef(body)
-	} else {
-		k.c.Write(body)
-	}
+	k.sink, k.addr = s, p.Addr
+	k.head, k.body = head, body
 	if k.dialed {
-		s.Connected()
+		k.send()
 	}
 	return k, nil
 }
 
+// send sends the request over a connection that stands.
+func (k *Conn) send() {
+	if late, ok := k.sink.(Late); ok {
+		k.head = late.RequestHead()
+	}
+	k.c.Write(k.head)
+	if len(k.body) > 16<<10 {
+		k.c.WriteRef(k.body)
+	} else {
+		k.c.Write(k.body)
+	}
+	k.head, k.body = nil, nil
+	k.sink.Connected()
+}
+
 // rested returns the idle connection used last, if there is one on which nothing has come
 // since: an end, or more than belonged to the last response.
 func (p *Pool) rested(once bool) *Conn {
@@ -213,7 +231,7 @@
 	k.dialed = true
 	k.p.Loop.Stop(&k.timer)
 	if k.sink != nil {
-		k.sink.Connected()
+		k.send()
 	}
 }
 
@@ -251,11 +269,13 @@
 func (k *Conn) Written() bool { return k.dialed && k.c.Unsent() == 0 && k.c.Lost() == 0 }
 
 // LeaveWithin ends the request as not sent where its last byte has not left this process
-// within d; 0 sets no bound.
+// within d; 0 sets no bound, and an earlier one holds.
 func (k *Conn) LeaveWithin(d time.Duration) {
-	if d <= 0 {
+	by := k.p.Loop.Now() + d
+	if d <= 0 || k.leave.Set() && k.leaveBy <= by {
 		return
 	}
+	k.leaveBy = by
 	k.leave.Fire = func() {
 		if k.sink != nil && !k.Written() {
 			k.fail("")
@@ -313,7 +333,7 @@
 			s := k.sink
 			k.sink = nil
 			k.p.Loop.Stop(&k.leave)
-			if k.linger && !k.p.Gone && c.Unsent() == 0 {
+			if k.linger && !k.p.Gone && k.addr == k.p.Addr && c.Unsent() == 0 {
 				k.c.Resume()
 				k.restedAt = k.p.Loop.Now()
 				k.p.idle = append(k.p.idle, k)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -236,3 +236,50 @@
 		}
 	}
 }
+
+// lateTaker is a taker whose head is made as late as may be.
+type lateTaker struct {
+	taker
+	made int
+}
+
+func (s *lateTaker) RequestHead() []byte {
+	s.made++
+	return []byte("GET /late HTTP/1.1\r\nHost: x\r\n\r\n")
+}
+
+// TestLate: a head that tells the time left is made when the connection stands, once.
+func TestLate(t *testing.T) {
+	w := begin(t, Options{Idle: time.Minute, PerEngine: 4})
+	for i := range 2 { // over a new connection, then over one that rests
+		s := &lateTaker{taker: taker{make(chan Break, 1)}}
+		w.on(func() {
+			if _, err := w.pool.Start(s, []byte("not this"), nil, false); err != nil {
+				t.Error(err)
+			}
+			if s.made != i {
+				t.Errorf("made %d times before the connection stood", s.made)
+			}
+		})
+		if how := <-s.ended; how != (Break{}) || s.made != 1 {
+			t.Error(how, s.made)
+		}
+	}
+	w.expect("connection", "request", "request")
+}
+
+// TestMoved: a connection in use when its engine's address changed is not kept for the next request.
+func TestMoved(t *testing.T) {
+	w, other := begin(t, Options{Idle: time.Minute, PerEngine: 4}), begin(t, Options{})
+	s := &taker{make(chan Break, 1)}
+	w.on(func() {
+		if _, err := w.pool.Start(s, []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), nil, false); err != nil {
+			t.Error(err)
+		}
+		w.pool.Addr = other.pool.Addr
+	})
+	<-s.ended
+	w.expect("connection", "request", "gone")
+	w.ask(false)
+	other.expect("connection", "request")
+}
