--- /dev/null
+++ b/control/cold_test.go
@@ -0,0 +1,219 @@
+package control
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// happening is something on the virtual clock of a fleet.
+type happening struct {
+	at  Time
+	seq int
+	do  func()
+}
+
+type happenings []happening
+
+func (h happenings) Len() int { return len(h) }
+func (h happenings) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h happenings) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *happenings) Push(x any)   { *h = append(*h, x.(happening)) }
+func (h *happenings) Pop() any {
+	x := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return x
+}
+
+// coldEngine answers requests one after another, each in the time that it takes; it is slower
+// while it is cold, and turns away what would wait behind too many.
+type coldEngine struct {
+	Server
+	service time.Duration
+	free    Time
+	sends   []Time // all that reached it, work that it turned away included
+}
+
+// coldFleet is many routers beside engines on a virtual clock.
+type coldFleet struct {
+	set     Settings
+	rng     *rand.Rand
+	now     Time
+	queue   happenings
+	seq     int
+	routers []*Router
+	born    []int // starts of each
+	engines map[ServerID]*coldEngine
+	list    []Server
+	lastID  RequestID
+	served  int
+}
+
+func (f *coldFleet) after(d time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.queue, happening{f.now.Add(d), f.seq, do})
+}
+
+// restart starts router i anew: it forgets all but the list.
+func (f *coldFleet) restart(i int) {
+	f.born[i]++
+	set := f.set
+	set.Rank, set.Seed = i, uint64(1000*f.born[i]+i+1)
+	f.routers[i] = New(set, f.now)
+	f.tell(i, Fleet{Servers: slices.Clone(f.list), Full: true})
+}
+
+func (f *coldFleet) tell(i int, events ...Event) {
+	born := f.born[i]
+	later := func(d time.Duration, ev Event) {
+		f.after(d, func() {
+			if f.born[i] == born {
+				f.tell(i, ev)
+			}
+		})
+	}
+	for _, a := range f.routers[i].Handle(f.now, events) {
+		switch a := a.(type) {
+		case SetTimer:
+			later(a.After, Timer{Token: a.Token})
+		case Probe:
+			later(ms, ProbeResult{Server: a.Server})
+		case Send:
+			e := f.engines[a.Server]
+			e.sends = append(e.sends, f.now)
+			service := e.service
+			if f.now.Sub(e.Since) < f.set.ColdFor && e.Since != 0 {
+				service = time.Duration(float64(service) / f.set.ColdFrom)
+			}
+			out := Outcome{ID: a.ID, Server: a.Server}
+			if e.free.Sub(f.now) > 40*service {
+				out.Result, out.Took = Full, ms
+				later(ms, out)
+				continue
+			}
+			e.free = max(e.free, f.now).Add(service)
+			out.Took = e.free.Sub(f.now)
+			if out.Took > a.Timeout {
+				out.Result, out.Took = TimedOut, a.Timeout
+			} else if f.set.KindRole[e.Kind] == Reader {
+				out.Result = ReadDone
+			} else {
+				out.Final = true
+				f.served++
+			}
+			later(out.Took, out)
+		}
+	}
+}
+
+// TestFleetDoesNotPushColdServersOver: what all routers together send a server that has just
+// started stays within N + 2 root N + 2 requests in the time in which it would fall over, N being
+// what the settings allow it. Also with many routers, of which some see several times the mean,
+// under a burst, with most servers of a role cold, and with routers that start again and forget.
+func TestFleetDoesNotPushColdServersOver(t *testing.T) {
+	for _, c := range []struct {
+		routers, each, cold int
+		load, burst         float64
+		restart             bool
+		skew                float64 // what every tenth router sees, over the mean of the others
+	}{
+		{25, 12, 3, 0.6, 1.5, false, 6}, {25, 12, 9, 0.6, 1.5, false, 6}, {25, 12, 3, 0.6, 1.5, true, 6}, {25, 8, 2, 0.8, 2, false, 6},
+		{25, 12, 11, 0.6, 1.5, true, 6}, {20, 6, 6, 0.5, 1.5, true, 1}, {300, 40, 10, 0.6, 1.5, true, 6}, {300, 40, 30, 0.6, 1.5, true, 6}, {5, 10, 4, 0.7, 1.5, true, 3},
+	} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprintf("%+v/%d", c, seed), func(t *testing.T) {
+				t.Parallel()
+				set := settings(Reader, Writer)
+				set.Routers, set.MayProbe, set.ColdFrom, set.FallAfter, set.ColdFor = c.routers, true, 0.35, 3*time.Second, 10*time.Second
+				const reads, writes = 25.0, 20.0 // that one server does in a second
+				f := &coldFleet{set: set, rng: rand.New(rand.NewPCG(seed, 7)), now: Time(time.Hour.Microseconds()), engines: map[ServerID]*coldEngine{},
+					routers: make([]*Router, c.routers), born: make([]int, c.routers)}
+				for _, s := range servers(c.each, c.each) {
+					service := time.Duration(float64(time.Second) / []float64{reads, writes}[s.Kind])
+					f.engines[s.ID] = &coldEngine{Server: s, service: service}
+					f.list = append(f.list, s)
+				}
+				for i := range f.routers {
+					f.restart(i)
+				}
+				start := f.now
+				weights, all := make([]float64, c.routers), 0.0
+				for i := range weights {
+					if weights[i] = 1; i%10 == 0 {
+						weights[i] = c.skew
+					}
+					all += weights[i]
+				}
+				for i := range f.routers {
+					var arrive func()
+					arrive = func() {
+						rate := c.load * min(reads, writes) * float64(c.each) * weights[i] / all
+						since := f.now.Sub(start).Seconds()
+						if since > 5 && since < 9 {
+							rate *= c.burst
+						}
+						f.lastID++
+						id := f.lastID
+						f.tell(i, Request{ID: id, Session: f.rng.Uint64N(500) + 1, Prefix: f.rng.Uint64N(20) + 1, PromptLen: 1000, PrefixLen: 300, MaxTokens: 100, Deadline: f.now.Add(4 * time.Second)})
+						f.after(time.Duration(f.rng.ExpFloat64()/rate*float64(time.Second)), arrive)
+					}
+					f.after(time.Duration(f.rng.Float64()*float64(time.Second)), arrive)
+				}
+				f.after(4*time.Second, func() { // the last ones of each role start anew, and all are told
+					var changes []Server
+					for i := range f.list {
+						if s := &f.list[i]; i%c.each >= c.each-c.cold {
+							s.Since = f.now
+							f.engines[s.ID].Server, f.engines[s.ID].free = *s, f.now
+							changes = append(changes, *s)
+						}
+					}
+					for i := range f.routers {
+						f.tell(i, Fleet{Servers: changes})
+					}
+				})
+				if c.restart {
+					f.after(5500*ms, func() {
+						for i := range f.routers {
+							if i%10 < 7 {
+								f.restart(i)
+							}
+						}
+					})
+				}
+				for len(f.queue) > 0 && f.queue[0].at < start.Add(14*time.Second) {
+					h := heap.Pop(&f.queue).(happening)
+					f.now = h.at
+					h.do()
+				}
+				worst := 0.0
+				for _, s := range f.list {
+					if s.Since == 0 {
+						continue
+					}
+					n := []float64{reads, writes}[s.Kind] * set.ColdFrom * set.FallMultiple * set.FallAfter.Seconds()
+					bound := n + 2*math.Sqrt(n) + 2
+					sends := f.engines[s.ID].sends
+					for from, to := 0, 0; to < len(sends); to++ {
+						for sends[to].Sub(sends[from]) > set.FallAfter {
+							from++
+						}
+						if sends[from] >= s.Since {
+							worst = max(worst, float64(to-from+1)/bound)
+						}
+					}
+				}
+				t.Logf("most: %.2f of the bound; %d served of %d", worst, f.served, f.lastID)
+				if worst > 1 || f.served == 0 {
+					t.Errorf("a cold server got %.2f of what it bears; %d served", worst, f.served)
+				}
+			})
+		}
+	}
+}
