Letting go: four calls at one engine at most, given up after a quarter of the limit

Found on reading, shown by TestManyWhileSilent: 60 states given up at once, the two engines heard from latest silent: all 24 calls hung there for the whole limit of 500 ms and none of 60 was let go of 800 ms later. Cause: Book.Turn asked the same best engine for every name and had no bound but the one on all calls. Change: mostEach, a call's time is a quarter of the limit, a name that found no call to spare goes on when one ends.

--- a/control/letgo/letgo.go
+++ b/control/letgo/letgo.go
@@ -4,7 +4,8 @@
 //
 // The rule: the engine that answered latest is asked first, since it lives and a connection
 // to it most likely rests; where it is silent for a share of the limit, the next one is asked
-// beside it, and so on, until one has answered. A request whose later attempt may need what
+// beside it, and so on, until one has answered. A few calls at most are out at one engine, so that
+// one that has just fallen silent holds up few names. A request whose later attempt may need what
 // is held is withdrawn.
 package letgo
 
@@ -21,7 +22,9 @@
 	patience  = 0.12 // of the limit: then another engine is asked too
 	leastWait = 20 * time.Millisecond
 	keep      = 30.0 // times the limit: then the engines' own limits have to do it
+	callShare = 0.25 // of the limit: then a call is given up, and its engine is asked last
 	mostOut   = 24   // calls at once
+	mostEach  = 4    // at one engine
 	Most      = 4096 // names that wait; beyond, the oldest is given up
 )
 
@@ -36,6 +39,7 @@
 	name  string
 	since control.Time
 	next  control.Time // when another engine may be asked
+	short bool         // of calls: it goes on when one ends
 	tried []control.ServerID
 	out   int
 }
@@ -48,13 +52,15 @@
 	list  []control.ServerID // that may be asked
 	heard map[control.ServerID]control.Time
 	bad   map[control.ServerID]control.Time
+	calls map[control.ServerID]int // out at each
 	out   int
+	ended bool // a call, since the latest turn
 	lost  uint64
 }
 
 // New returns a book for a limit on how long anything may stay held.
 func New(limit time.Duration) *Book {
-	return &Book{limit: max(limit, leastWait), wants: map[string]*want{}, heard: map[control.ServerID]control.Time{}, bad: map[control.ServerID]control.Time{}}
+	return &Book{limit: max(limit, leastWait), wants: map[string]*want{}, heard: map[control.ServerID]control.Time{}, bad: map[control.ServerID]control.Time{}, calls: map[control.ServerID]int{}}
 }
 
 // Len is how many names wait; Lost how many were given up.
@@ -119,6 +125,10 @@
 // Answered ends a call.
 func (b *Book) Answered(now control.Time, a Ask, ok bool) {
 	b.out--
+	b.ended = true
+	if b.calls[a.Server]--; b.calls[a.Server] <= 0 {
+		delete(b.calls, a.Server)
+	}
 	w := b.wants[a.Name]
 	if ok {
 		b.Heard(now, a.Server)
@@ -142,11 +152,15 @@
 			b.lost++
 			continue
 		}
-		if now < w.next || b.out >= mostOut {
+		if now < w.next && !(w.short && b.ended) {
+			continue
+		}
+		id, any := b.best(w)
+		if w.short = b.out >= mostOut || any && b.calls[id] >= mostEach; w.short {
+			w.next = now.Add(b.wait())
 			continue
 		}
-		id, ok := b.best(w)
-		if !ok {
+		if !any {
 			w.next, w.tried = now.Add(b.wait()), nil // all were asked: from the start
 			continue
 		}
@@ -154,8 +168,10 @@
 		w.out++
 		w.next = now.Add(b.wait())
 		b.out++
-		asks = append(asks, Ask{w.name, id, b.limit})
+		b.calls[id]++
+		asks = append(asks, Ask{w.name, id, max(time.Duration(callShare*float64(b.limit)), leastWait)})
 	}
+	b.ended = false
 	return asks
 }
 
@@ -174,22 +190,25 @@
 }
 
 // best is the engine that answered latest among those not tried, and of those that never did
-// or failed since, the one that failed longest ago.
+// or failed since, the one that failed longest ago; of all these, one with calls to spare.
 func (b *Book) best(w *want) (best control.ServerID, ok bool) {
-	rank := func(id control.ServerID) (well bool, at control.Time) {
+	rank := func(id control.ServerID) (spare, well int, at control.Time) {
+		if b.calls[id] < mostEach {
+			spare = 1
+		}
 		if h, f := b.heard[id], b.bad[id]; h > f {
-			return true, h
+			return spare, 1, h
 		} else {
-			return false, ^f
+			return spare, 0, ^f
 		}
 	}
 	for _, id := range b.list {
 		if slices.Contains(w.tried, id) {
 			continue
 		}
-		well, at := rank(id)
-		bestWell, bestAt := rank(best)
-		if !ok || well && !bestWell || well == bestWell && cmp.Or(cmp.Compare(at, bestAt), cmp.Compare(best, id)) > 0 {
+		spare, well, at := rank(id)
+		bestSpare, bestWell, bestAt := rank(best)
+		if !ok || cmp.Or(cmp.Compare(spare, bestSpare), cmp.Compare(well, bestWell), cmp.Compare(at, bestAt), cmp.Compare(best, id)) > 0 {
 			best, ok = id, true
 		}
 	}
