An attempt given up has ended for its engine before the next one, or an answer, leaves

Cause: attempt.finish in internal/platform pushed the Outcome at once. Change: exchange.settle holds it back 5 ms (conns.EndHeard) where the connection was ended here after the request had left.

--- a/control/conns/conns.go
+++ b/control/conns/conns.go
@@ -106,6 +106,10 @@
 	// StreamSilence is how long an engine may be silent in mid-stream. Its client counts as
 	// left alone after 5 s, and one that asks for the rest is better off the sooner.
 	StreamSilence = 3500 * time.Millisecond
+	// EndHeard is how long word of a connection's end may take to its engine: several round trips
+	// between zones. Until then nothing is done on account
+	// of that end.
+	EndHeard = 5 * time.Millisecond
 	// LastRequests is how long a router that stops takes new connections and requests.
 	LastRequests = 550 * time.Millisecond
 	idlePart     = 2 // of the time after which engines close an idle connection, ours is closed
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -24,6 +24,7 @@
 	held     bool // a read may have left something held for it
 	doubt    bool // and that of a read whose end is not known
 	timedOut bool // the latest attempt
+	settling bool // an attempt was given up, and its engine may not have heard of that yet
 	began    bool
 	since    time.Duration
 	first    time.Duration // until its first event
@@ -55,6 +56,7 @@
 	status   int
 	rejected bool
 	kept     bool   // lost with a connection that had rested
+	spoilt   bool   // its connection was ended here, since its answer can't be read
 	hold     []byte // of the answer, before its first event is whole
 	started  bool
 	over     bool
@@ -216,7 +218,7 @@
 func (a *attempt) Broken(how upstream.Break) {
 	a.conn = nil
 	a.kept = how.Kept
-	if how.Reason != "" {
+	if a.spoilt = how.Reason != ""; a.spoilt {
 		a.x.r.spoilt++
 	}
 	if a.started {
@@ -237,6 +239,7 @@
 	r := x.r
 	r.loop.Stop(&a.timer)
 	r.loop.Stop(&a.stall)
+	gaveUp := a.spoilt || a.conn != nil && a.conn.Written()
 	if a.conn != nil {
 		a.conn.Abort()
 		a.conn = nil
@@ -255,7 +258,12 @@
 	if r.traceRequests {
 		x.history += fmt.Sprintf(" %.0f-%.0f:%x:%s", float64((a.since - x.since).Milliseconds()), float64((r.loop.Now() - x.since).Milliseconds()), uint64(a.server)>>48, resultNames[result])
 	}
-	r.push(control.Outcome{ID: x.id, Attempt: a.number, Server: a.server, Result: result, Took: r.loop.Now() - a.since, Final: final, Note: note, Kept: a.kept})
+	out := control.Outcome{ID: x.id, Attempt: a.number, Server: a.server, Result: result, Took: r.loop.Now() - a.since, Final: final, Note: note, Kept: a.kept}
+	if gaveUp && !final {
+		x.settle(out)
+		return
+	}
+	r.push(out)
 	if !final {
 		return
 	}
@@ -282,6 +290,22 @@
 	}
 }
 
+// settle tells the module of an attempt that was given up here once its engine has had time to
+// hear of it. The danger is a second attempt, or an answer that has the client come again, that
+// overtakes word of the first one's end on its way: two attempts would be out.
+func (x *exchange) settle(out control.Outcome) {
+	x.settling = true
+	t := &wheel.Timer{}
+	t.Fire = func() {
+		x.settling = false
+		if x.f == nil { // the client has left meanwhile; it was kept for this
+			x.r.ended = append(x.r.ended, x)
+		}
+		x.r.push(out)
+	}
+	x.r.loop.Start(t, conns.EndHeard)
+}
+
 // refuse says that a retry is harmless, and when.
 func (x *exchange) refuse(after time.Duration) {
 	if f := x.detach(); f != nil {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -164,7 +164,7 @@
 	clear(events)
 	r.spare = events[:0]
 	for _, x := range r.ended {
-		if x.at == nil {
+		if x.at == nil && !x.settling {
 			delete(r.live, x.id)
 		}
 	}
