Closing: the backlog is answered, answers on their way survive, descriptors are free at once

Read with one question, what if something comes between these two lines, then forced on sockets in one turn of the loop: - Shutdown closed the listener over connections that the system had accepted: they were reset unanswered. Listener.Close takes them first; they get 503 (TestBacklogAtStop; also without the check that nothing is taken after the grace). - hangUp and breakOff closed plainly: unread bytes then make a reset that destroys a long answer just written, or the events before a break. They linger where an answer may be on its way (TestCloseOverUnread, both cases). - loop.drop kept descriptors until the end of the turn, beyond every bound where many end and are dialed anew at once. They are closed at once now; an event of that turn never meets the connection that got the number (TestReusedDescriptor). - Two SIGHUPs: a first one that reads its file slowly could end up in force (TestReloadLatest). - conns.spare was 24 and counted neither discovery's calls nor those of a discovery just left: 40 (TestHordeWithoutDiscovery). Also tests of what holds: ready and serving while discovery is silent, two deployments in one process.

--- a/control/conns/conns.go
+++ b/control/conns/conns.go
@@ -88,12 +88,16 @@
 	Receive = 2500 * time.Millisecond
 	// IdleFor is how long a connection may rest between requests.
 	IdleFor = 5 * time.Second
+	// AnswerOnWay is how long an answer that was written may take to its client.
+	AnswerOnWay = time.Second
 	// Stall is how long a client may take nothing of its answer.
 	Stall = 10 * time.Second
 )
 
-// spare descriptors: standard streams, epoll, wake-up, listener, discovery, files in passing.
-const spare = 24
+// spare descriptors: 3 standard streams, epoll and wake-up of the loop and of the runtime (4), the
+// listener, a file in passing, discovery's watch and 4 calls, the same again when it has moved (10):
+// 19, and as many for what is accepted before it is turned away.
+const spare = 40
 
 // Split shares so many descriptors between connections to clients and to engines. A request
 // at work needs one of each; clients that hold one in vain are closed, engines' are not.
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -232,7 +232,8 @@
 	c.closed, c.lost = true, c.unsent
 	delete(c.loop.fds, c.fd)
 	_ = unix.EpollCtl(c.loop.ep, unix.EPOLL_CTL_DEL, c.fd, nil)
-	c.loop.closing = append(c.loop.closing, c.fd)
+	unix.Close(c.fd)
+	c.loop.gone[c.fd], c.loop.freed = struct{}{}, true
 	for i := range c.out {
 		c.loop.pool.put(c.out[i].buf)
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -56,8 +56,9 @@
 	batch   int // events a turn, most
 	iov     [vectors]unix.Iovec
 	pool    pool
-	dirty   []*Conn // to be flushed, re-armed or handed leftovers at the end of the turn
-	closing []int   // descriptors closed at the end of the turn: no event may hit a reused one
+	dirty   []*Conn          // to be flushed, re-armed or handed leftovers at the end of the turn
+	gone    map[int]struct{} // descriptors closed while events are handled: none of these may hit a reused one
+	freed   bool             // a descriptor, in this turn
 	after   []func()
 	stopped bool
 	turns   uint64
@@ -95,7 +96,7 @@
 		return nil, fmt.Errorf("loop: eventfd: %w", err)
 	}
 	l := &Loop{opts: opts, ep: ep, wake: wake, origin: time.Now(), fds: map[int]source{},
-		scratch: make([]byte, scratchSize), batch: eventsPerTurn, pool: pool{kept: opts.Kept}, paused: map[*Listener]struct{}{}}
+		scratch: make([]byte, scratchSize), batch: eventsPerTurn, pool: pool{kept: opts.Kept}, paused: map[*Listener]struct{}{}, gone: map[int]struct{}{}}
 	ev := unix.EpollEvent{Events: unix.EPOLLIN, Fd: int32(wake)}
 	if err := unix.EpollCtl(ep, unix.EPOLL_CTL_ADD, wake, &ev); err != nil {
 		return nil, errors.Join(fmt.Errorf("loop: epoll_ctl: %w", err), unix.Close(ep), unix.Close(wake))
@@ -170,10 +171,13 @@
 			// for a peer's.
 			n = poll(l.ep, events)
 		}
+		clear(l.gone)
 		for i := range max(n, 0) {
 			fd := int(events[i].Fd)
 			if fd == l.wake {
 				l.awake()
+			} else if _, gone := l.gone[fd]; gone {
+				continue
 			} else if s := l.fds[fd]; s != nil {
 				l.handle(s, events[i].Events)
 			}
@@ -237,7 +241,7 @@
 }
 
 // settle ends a turn: functions put off to it, leftovers handed over, output
-// flushed, interests changed, descriptors closed.
+// flushed, interests changed.
 func (l *Loop) settle() {
 	for len(l.after) > 0 || len(l.dirty) > 0 {
 		after := l.after
@@ -252,11 +256,8 @@
 			l.settleOne(c)
 		}
 	}
-	for _, fd := range l.closing {
-		unix.Close(fd)
-	}
-	if len(l.closing) > 0 {
-		l.closing = l.closing[:0]
+	if l.freed {
+		l.freed = false
 		for ln := range l.paused { // a descriptor is free again
 			delete(l.paused, ln)
 			ln.arm(unix.EPOLLIN)
@@ -277,12 +278,9 @@
 	for fd := range l.fds {
 		unix.Close(fd)
 	}
-	for _, fd := range l.closing {
-		unix.Close(fd)
-	}
 	unix.Close(l.ep)
 	unix.Close(l.wake)
-	l.fds, l.closing, l.wake = nil, nil, -1
+	l.fds, l.wake = nil, -1
 }
 
 // Listener accepts connections.
@@ -341,11 +339,14 @@
 // Open is how many of its connections are open.
 func (ln *Listener) Open() int { return ln.open }
 
-// Close stops accepting; open connections stay.
+// Close stops accepting; open connections stay. Those that the system has accepted already are
+// taken first, or they would be reset.
 func (ln *Listener) Close() {
 	if ln.closed {
 		return
 	}
+	for ln.take() {
+	}
 	ln.closed = true
 	ln.loop.Stop(&ln.retry)
 	delete(ln.loop.paused, ln)
@@ -367,28 +368,39 @@
 			ln.arm(0)
 			return
 		}
-		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-		switch {
-		case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOBUFS), errors.Is(err, unix.ENOMEM):
-			// The connection stays in the backlog; a level-triggered loop would spin on it.
-			ln.arm(0)
-			ln.loop.paused[ln] = struct{}{}
-			ln.loop.Start(&ln.retry, shortOfFiles)
+		if !ln.take() {
 			return
-		case errors.Is(err, unix.ECONNABORTED), errors.Is(err, unix.EINTR):
-			continue
-		case err != nil:
-			return
-		}
-		c := &Conn{loop: ln.loop, fd: fd, listener: ln}
-		ln.open++
-		if c.handler = ln.accept(c); c.handler == nil || c.register(unix.EPOLLIN|unix.EPOLLRDHUP) != nil {
-			ln.open--
-			unix.Close(fd)
 		}
 	}
 }
 
+// take accepts one connection; false where there is none, or no descriptor for it.
+func (ln *Listener) take() bool {
+	if ln.Max > 0 && ln.open >= ln.Max {
+		return false
+	}
+	fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+	switch {
+	case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOBUFS), errors.Is(err, unix.ENOMEM):
+		// The connection stays in the backlog; a level-triggered loop would spin on it.
+		ln.arm(0)
+		ln.loop.paused[ln] = struct{}{}
+		ln.loop.Start(&ln.retry, shortOfFiles)
+		return false
+	case errors.Is(err, unix.ECONNABORTED), errors.Is(err, unix.EINTR):
+		return true
+	case err != nil:
+		return false
+	}
+	c := &Conn{loop: ln.loop, fd: fd, listener: ln}
+	ln.open++
+	if c.handler = ln.accept(c); c.handler == nil || c.register(unix.EPOLLIN|unix.EPOLLRDHUP) != nil {
+		ln.open--
+		unix.Close(fd)
+	}
+	return true
+}
+
 func sockaddr(a netip.AddrPort) (int, unix.Sockaddr) {
 	if a.Addr().Is4() || a.Addr().Is4In6() {
 		return unix.AF_INET, &unix.SockaddrInet4{Port: int(a.Port()), Addr: a.Addr().As4()}
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -432,3 +433,108 @@
 		}
 	}
 }
+
+// closer ends other connections when its first bytes come, and dials in their place.
+type closer struct {
+	echo
+	do func(c *Conn)
+}
+
+func (q *closer) Data(c *Conn, b []byte) int { q.do(c); return len(b) }
+
+// opener counts what it is told.
+type opener struct{ opened, closed int }
+
+func (o *opener) Opened(*Conn)               { o.opened++ }
+func (o *opener) Data(_ *Conn, b []byte) int { return len(b) }
+func (o *opener) EOF(*Conn)                  {}
+func (o *opener) Drained(*Conn)              {}
+func (o *opener) Closed(*Conn, error)        { o.closed++ }
+
+// TestReusedDescriptor: where a connection is closed in the turn in which it has an event, and
+// another gets its descriptor, that event is not the other's. The descriptor is free at once.
+func TestReusedDescriptor(t *testing.T) {
+	l, do := start(t, Options{})
+	var served []*Conn
+	var reused bool
+	late := &opener{}
+	var silent *Conn
+	act := func(c *Conn) {
+		if silent != nil {
+			return
+		}
+		for _, o := range served {
+			if o != c {
+				fd := o.fd
+				o.Abort()
+				var err error
+				// An address that takes no connection: nothing may be heard of it in this turn.
+				if silent, err = l.Dial(netip.MustParseAddrPort(stuck(t)), late); err != nil {
+					t.Error(err)
+					return
+				}
+				reused = silent.fd == fd
+			}
+		}
+	}
+	ln := listen(t, l, do, func(c *Conn) Handler {
+		served = append(served, c)
+		return &closer{echo{events: make(chan string, 4)}, act}
+	})
+	a, b := dial(t, ln), dial(t, ln)
+	for n := 0; n < 2; {
+		do(func() { n = len(served) })
+	}
+	do(func() { // both have something to read in the next turn
+		for _, c := range []net.Conn{a, b} {
+			if _, err := c.Write([]byte("x")); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	do(func() {})
+	do(func() {
+		if !reused {
+			t.Error("the descriptor was not free at once")
+		}
+		if late.opened+late.closed != 0 {
+			t.Errorf("told %d times that it stands, %d times that it ended, by another's event", late.opened, late.closed)
+		}
+	})
+}
+
+// stuck is an address on which no connection comes up: its listener's backlog is full.
+func stuck(t *testing.T) string {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Far away from the lowest free descriptor, which the test is about.
+	high, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 500)
+	if err != nil {
+		t.Fatal(err)
+	}
+	unix.Close(fd)
+	t.Cleanup(func() { unix.Close(high) })
+	if err := errors.Join(unix.Bind(high, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), unix.Listen(high, 0)); err != nil {
+		t.Fatal(err)
+	}
+	sa, err := unix.Getsockname(high)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		c, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		filler, err := unix.FcntlInt(uintptr(c), unix.F_DUPFD_CLOEXEC, 500)
+		if err != nil {
+			t.Fatal(err)
+		}
+		unix.Close(c)
+		t.Cleanup(func() { unix.Close(filler) })
+		_ = unix.Connect(filler, sa)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", sa.(*unix.SockaddrInet4).Port)
+}
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -3,11 +3,15 @@
 import (
 	"bufio"
 	"io"
+	"net"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
 	"martenlock/control"
 	"martenlock/control/conns"
+	"martenlock/control/membership"
 )
 
 // out returns the attempts that are out at engine i. It runs on the loop.
@@ -95,3 +99,285 @@
 		t.Error("what it may have left is held")
 	}
 }
+
+// unanswered sends bytes on c that the loop can only see after this turn.
+func unanswered(t *testing.T, c net.Conn, text string) {
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestBacklogAtStop: connections that the system has accepted and the loop has not, when a router
+// that stops closes its listener, get an answer, and nothing of theirs is sent on.
+func TestBacklogAtStop(t *testing.T) {
+	w := begin(t, "r1", "w1")
+	w.r.Shutdown()
+	w.look("it stops", func() bool { return w.r.stopping })
+	var clients []net.Conn
+	w.on(func() {
+		w.r.loop.Stop(&w.r.stop)
+		for range 5 {
+			c := w.dial()
+			unanswered(t, c, w.chat("note"))
+			clients = append(clients, c)
+		}
+		w.r.stop.Fire()
+	})
+	for i, c := range clients {
+		if a := read(bufio.NewReader(c)); a.code != 503 || a.head.Get("Retry-After") == "" {
+			t.Errorf("client %d: %+v", i, a)
+		}
+	}
+	if n := w.posts(); n[0]+n[1] != 0 {
+		t.Errorf("%v sent on after the end", n)
+	}
+	select {
+	case err := <-w.ended:
+		w.ended <- err
+	case <-time.After(5 * time.Second):
+		t.Error("it does not end")
+	}
+}
+
+// long is a stream that fills a client's small buffers and stays in the router's.
+func long(end string) (text string, size int) {
+	event := `data: {"a":"` + strings.Repeat("x", 4000) + "\"}\n\n"
+	return chunkedHead + strings.Repeat(chunk(event), 40) + end, 40 * len(event)
+}
+
+// TestCloseOverUnread: a request that comes as its connection is closed is not sent on, and the
+// reset that unread bytes cause does not destroy what was written before: neither an answer, when
+// the connection is closed as idle, nor the events of a stream that can't be ended well.
+func TestCloseOverUnread(t *testing.T) {
+	for _, c := range []struct {
+		end   string
+		whole bool
+	}{{lastChunk, true}, {"nonsense\r\n", false}} {
+		w := begin(t, "r1", "w1")
+		text, size := long(c.end)
+		got := make(chan struct{})
+		w.engines[1].do(func(r *request) bool { <-got; return instead(text)(r) })
+		client := w.dial()
+		if err := client.(*net.TCPConn).SetReadBuffer(4096); err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(client, w.chat("ask"))
+		w.until("it is written", func() bool { return w.posts()[1] == 1 })
+		var f *front
+		w.on(func() {
+			for f = range w.r.fronts {
+			}
+			if !c.whole {
+				unanswered(t, client, w.chat("note")) // lies unread from now on
+			}
+		})
+		close(got)
+		if c.whole {
+			w.look("it is answered", func() bool { return f.served })
+			w.on(func() { // in one turn
+				unanswered(t, client, w.chat("note"))
+				f.hangUp()
+			})
+		}
+		w.look("it is closed", func() bool { return f.closed })
+		a := read(bufio.NewReader(client))
+		if a.code != 200 || a.whole != c.whole || len(a.body) != size {
+			t.Errorf("whole %v: %d, whole %v, %d bytes of %d", c.whole, a.code, a.whole, len(a.body), size)
+		}
+		if n := w.posts(); n[0] != 1 {
+			t.Errorf("%d sent on", n[0])
+		}
+	}
+}
+
+// TestReloadLatest: of two words to read the configuration anew the later one holds, though the
+// first takes longer to read its file.
+func TestReloadLatest(t *testing.T) {
+	w := begin(t, "r1", "w1")
+	one, two := begin(t, "r1"), begin(t, "r1")
+	old := w.path
+	file := func(name string, of *world) func(string) string {
+		w.path = filepath.Join(t.TempDir(), name)
+		w.conf["discovery"] = of.agent.ln.Addr().String()
+		w.save()
+		path := w.path
+		return func(string) string { return path }
+	}
+	first, second := file("first", one), file("second", two)
+	w.path = old
+	reading, goOn, done := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	go func() {
+		w.r.Reload(func(name string) string {
+			if name == "PROXY_CONFIG" {
+				close(reading)
+				<-goOn
+			}
+			return first(name)
+		})
+		close(done)
+	}()
+	<-reading
+	w.r.Reload(second)
+	want := two.agent.ln.Addr().String()
+	w.look("the later one holds", func() bool { return w.r.discovery.addr.String() == want })
+	close(goOn)
+	<-done
+	w.on(func() {})
+	w.on(func() {
+		if got := w.r.discovery.addr.String(); got != want {
+			t.Errorf("discovery at %s, which came first", got)
+		}
+	})
+}
+
+// TestHordeWithoutDiscovery: idle clients fill their share of the descriptors while discovery is
+// down: engines, the watch and a reload get theirs, and who comes after is served.
+func TestHordeWithoutDiscovery(t *testing.T) {
+	w := begin(t, "r1", "w1")
+	other := begin(t, "r1")
+	w.agent.ln.Close()
+	w.agent.mu.Lock()
+	for _, c := range w.agent.watches {
+		c.Close()
+	}
+	w.agent.mu.Unlock()
+	for range w.r.budget.clients + 60 {
+		w.dial()
+	}
+	if a := w.ask(w.chat("ask")); a.code != 200 {
+		t.Fatal(a)
+	}
+	w.on(func() {
+		const own = 19 // control/conns says which
+		if most := w.r.ln.Max + w.r.budget.engines + own; most > w.r.cfg.Limits.Sockets || w.r.ln.Open() > w.r.ln.Max {
+			t.Errorf("%d descriptors of %d; %d clients, %d at most", most, w.r.cfg.Limits.Sockets, w.r.ln.Open(), w.r.ln.Max)
+		}
+		if n := len(w.r.discovery.calls); n > 4 {
+			t.Errorf("%d calls at discovery", n)
+		}
+	})
+	other.agent.mu.Lock()
+	w.rev = 7
+	other.agent.first = w.list()
+	other.agent.mu.Unlock()
+	w.conf["discovery"] = other.agent.ln.Addr().String()
+	w.save()
+	w.r.Reload(w.getenv)
+	w.look("the list is here", func() bool { return w.r.table.Revision() == 7 })
+}
+
+// TestReadyWithoutDiscovery: a router is ready with the list that it is given at its start, and
+// serves, while discovery is silent.
+func TestReadyWithoutDiscovery(t *testing.T) {
+	w := begin(t, "r1", "w1")
+	w.conf["discovery"] = unreachable(t)
+	w.save()
+	cfg, err := LoadConfig(w.getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := New(cfg, w.r.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run() }()
+	one := &world{T: t, r: r, agent: w.agent}
+	if a := one.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"); a.code != 200 {
+		t.Error(a)
+	}
+	made := map[*watch]bool{}
+	one.look("calls have made room for later ones", func() bool {
+		for _, c := range r.discovery.calls {
+			made[c] = true
+		}
+		if n := len(r.discovery.calls); n > membership.Calls {
+			t.Fatalf("%d calls at once", n)
+		}
+		return len(made) > membership.Calls+2
+	})
+	one.calls = 100
+	if a := one.ask(one.chat("note")); a.code != 200 {
+		t.Error(a)
+	}
+	one.closers.mu.Lock()
+	for _, c := range one.closers.list {
+		c.Close()
+	}
+	one.closers.mu.Unlock()
+	r.Shutdown()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// otherSettings are those of a deployment unlike testSettings: names, effects, deadlines, limits.
+func otherSettings(t *testing.T) string {
+	set := testSettings
+	for _, edit := range [][2]string{{`"ask"`, `"tide"`}, {`"note"`, `"wave"`}, {`"r1"`, `"x9"`}, {`"w1"`, `"y9"`}, {`"Zones":["a","b"]`, `"Zones":["q"]`},
+		{`"DeadlineUs":4000000,"Effect":"idempotent"`, `"DeadlineUs":900000,"Effect":"at_most_once"`}, {`"Effect":"at_most_once","LateWorth":0.2`, `"Effect":"idempotent","LateWorth":0.2`},
+		{`"PinLimitUs":500000`, `"PinLimitUs":200000`}, {`"AttemptsCap":5`, `"AttemptsCap":2`}, {`"MostHeld":1000`, `"MostHeld":1`}} {
+		if !strings.Contains(set, edit[0]) {
+			t.Fatal(edit)
+		}
+		set = strings.Replace(set, edit[0], edit[1], 1)
+	}
+	return set
+}
+
+// TestTwoDeployments: routers in one process, of other names, effects, deadlines and limits, each
+// act by their own settings, at the same time.
+func TestTwoDeployments(t *testing.T) {
+	for _, c := range []struct {
+		other bool
+		class string
+		code  int // where each attempt at a writer breaks off: safe ones may come again, others not
+		sent  int // to writers
+	}{{false, "ask", 503, 4}, {false, "note", 502, 1}, {true, "tide", 502, 1}, {true, "wave", 503, 1}, {false, "tide", 400, 0}, {true, "ask", 400, 0}} {
+		t.Run(c.class, func(t *testing.T) {
+			t.Parallel()
+			w := begin(t, "r1", "w1", "w1", "w1", "w1")
+			if c.other {
+				w = beginWith(t, otherSettings(t), "x9", "y9", "y9", "y9", "y9")
+			}
+			for _, e := range w.engines[1:] {
+				e.do(func(r *request) bool { return r.method != "POST" && good(r) }) // an end that may have run
+			}
+			a := w.ask(w.chat(c.class))
+			sent := 0
+			for _, n := range w.posts()[1:] {
+				sent += n
+			}
+			if a.code != c.code || sent != c.sent {
+				t.Errorf("%d %s, %d at writers", a.code, a.body, sent)
+			}
+		})
+	}
+	t.Run("held", func(t *testing.T) { // how many a router may hold
+		for most, w := range map[int]*world{1000: begin(t, "r1", "w1"), 1: beginWith(t, otherSettings(t), "x9", "y9")} {
+			hold := make(chan struct{})
+			w.engines[0].do(func(r *request) bool {
+				if r.method == "POST" {
+					<-hold
+				}
+				return good(r)
+			})
+			class := map[int]string{1000: "ask", 1: "wave"}[most]
+			client, second := w.dial(), w.dial()
+			io.WriteString(client, w.chat(class))
+			w.until("it is read", func() bool { return w.posts()[0] == 1 })
+			io.WriteString(second, w.chat(class))
+			if most == 1 {
+				if a := read(bufio.NewReader(second)); a.code != 503 {
+					t.Errorf("a second one where one may be held: %d", a.code)
+				}
+			} else {
+				w.look("both are held", func() bool { return len(w.r.live) == 2 })
+			}
+			close(hold)
+			if a := read(bufio.NewReader(client)); a.code != 200 {
+				t.Errorf("%s: %d %s", class, a.code, a.body)
+			}
+		}
+	})
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -28,6 +28,7 @@
 	served bool // a request has been answered here
 	closed bool
 	born   time.Duration
+	wrote  time.Duration // the latest answer's end
 }
 
 var frontLimits = http1.Limits{Line: 8 << 10, Headers: 16 << 10, Fields: 64, Body: 256 << 10}
@@ -64,9 +65,14 @@
 	f.body = nil
 }
 
-// hangUp closes a connection on which nothing is owed.
+// hangUp closes a connection on which nothing is owed. Where an answer may yet be on its way, what
+// comes meanwhile is read and thrown away: the reset that answers unread bytes would destroy it.
 func (f *front) hangUp() {
-	f.c.Close()
+	if f.served && (f.r.loop.Now()-f.wrote < conns.AnswerOnWay || f.c.Unsent() > 0) {
+		f.c.CloseLingering()
+	} else {
+		f.c.Close()
+	}
 	f.ended()
 }
 
@@ -257,7 +263,7 @@
 // next makes the connection ready for another request, or closes it.
 func (f *front) next() {
 	f.dropBody()
-	f.begun, f.call, f.served = false, nil, true
+	f.begun, f.call, f.served, f.wrote = false, nil, true, f.r.loop.Now()
 	if f.closed {
 		return
 	}
@@ -314,7 +320,7 @@
 // breakOff ends a stream that is not whole: the connection ends without the last chunk.
 func (f *front) breakOff() {
 	f.x = nil
-	f.c.Close()
+	f.c.CloseLingering() // a reset would destroy the events that are on their way
 	f.ended()
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -37,6 +38,7 @@
 	discovery     *discovery
 	counted       wheel.Timer // until an out-of-date list may count
 	warned        map[string]time.Duration
+	reloads       atomic.Uint64
 	letgo         *letgo.Book
 	reuse         reuse.Book
 	held          wheel.Timer // until the book of what is held has something to do
@@ -215,9 +217,13 @@
 // Reload reads the configuration anew. What cannot be read changes nothing and is tried again
 // shortly; only discovery's address may change while the router runs.
 func (r *Router) Reload(getenv func(string) string) {
+	number := r.reloads.Add(1) // the latest word holds, also against an earlier one that read slowly
 	var try func(left int)
 	try = func(left int) {
 		cfg, err := LoadConfig(getenv)
+		if r.reloads.Load() != number {
+			return
+		}
 		if err != nil {
 			if left > 0 {
 				time.AfterFunc(reloadRetry, func() { try(left - 1) })
@@ -227,6 +233,9 @@
 			return
 		}
 		r.loop.Post(func() {
+			if r.reloads.Load() != number {
+				return
+			}
 			r.log.Info().Str("discovery", cfg.Discovery.String()).Msg("configuration taken")
 			if cfg.Discovery != r.discovery.addr {
 				r.follow(cfg.Discovery)
@@ -252,12 +261,12 @@
 		r.log.Info().Int("requests", len(r.live)).Msg("stopping")
 		r.stop.Fire = func() {
 			r.grace = false
-			r.ln.Close()
 			for f := range r.fronts {
 				if f.x == nil && !f.begun {
 					f.hangUp()
 				}
 			}
+			r.ln.Close()
 			r.drain()
 		}
 		r.loop.Start(&r.stop, conns.LastRequests)
--- a/internal/platform/world_test.go
+++ b/internal/platform/world_test.go
@@ -129,7 +129,7 @@
 		return r.say("HTTP/1.1 204 No Content\r\n\r\n")
 	case r.method == "GET":
 		return r.say(status(200, ""))
-	case r.engine.flavor == "r1":
+	case r.engine.flavor == "r1" || r.engine.flavor == "x9":
 		return r.say("HTTP/1.1 202 Accepted\r\nContent-Length: 20\r\n\r\n{\"cached_tokens\":12}")
 	}
 	return r.say(whole)
@@ -227,6 +227,12 @@
 
 // begin runs a router beside engines of these flavors, r1 or w1.
 func begin(t *testing.T, flavors ...string) *world {
+	t.Helper()
+	return beginWith(t, testSettings, flavors...)
+}
+
+// beginWith is begin with settings of its own, of which the first flavor named is a reader's.
+func beginWith(t *testing.T, settings string, flavors ...string) *world {
 	t.Helper()
 	w := &world{T: t, agent: &agent{}, rev: 1, ended: make(chan error, 1)}
 	listen := func() net.Listener {
@@ -248,7 +254,7 @@
 	w.path = filepath.Join(t.TempDir(), "config.json")
 	w.conf = map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": w.agent.ln.Addr().String(), "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 0.5, "memory_mb": 64, "sockets": 256},
-		"known":  json.RawMessage(w.list()), "settings": json.RawMessage(testSettings)}
+		"known":  json.RawMessage(w.list()), "settings": json.RawMessage(settings)}
 	w.save()
 	cfg, err := LoadConfig(w.getenv)
 	if err != nil {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -68,12 +68,15 @@
 						return
 					}
 					w.seen <- "request"
-					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					var then func(net.Conn) // taken before the answer: what is told after it is for the next request
 					select {
-					case then := <-w.then:
-						then(c)
+					case then = <-w.then:
 					default:
 					}
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					if then != nil {
+						then(c)
+					}
 				}
 			}()
 		}
