A stream's end survives its engine's reset behind a slow client; a slow file holds up no signal

- Conn.ready ended a paused connection at its peer's reset, though bytes lay unread before it: a stream that its engine had finished was cut where its client was slow.
Upstream's connections are Patient now: EOF is told, epoll is asked nothing more, and the bytes come at Resume, then the end (TestResetWhilePaused; the clients' side hears of a reset at once as before, TestLeavingIsNoticed).
- Reload read the file on the goroutine that brings signals, so that SIGTERM waited for a file that was slow to read.
It has one of its own (TestSignals: a router as a process whose configuration is a pipe; SIGTERM before ready, twice, and with SIGHUP in both orders: exit 0).

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -45,6 +45,8 @@
 
 	connecting, paused, eof, eofTold, full, dirty, closed, leftover bool
 	noisy                                                           bool // bytes have come while paused
+	patient                                                         bool // what came before a reset counts
+	parked                                                          bool // its end has come while paused, and epoll is asked nothing of it
 
 	closeWhenSent, lingers, shut bool
 	limit                        *wheel.Timer // of a close that waits for the peer
@@ -131,6 +133,10 @@
 // Paused tells whether reading is paused.
 func (c *Conn) Paused() bool { return c.paused }
 
+// Patient says that what the peer sent before it reset the connection matters, though reading is
+// paused meanwhile: EOF is told then, and Closed after these bytes. Else Closed is told at once.
+func (c *Conn) Patient() { c.patient = true }
+
 // Resume reads again, first what was left over.
 func (c *Conn) Resume() {
 	if c.paused {
@@ -276,6 +282,12 @@
 		return
 	}
 	if events&(unix.EPOLLERR|unix.EPOLLHUP) != 0 && c.paused {
+		if c.patient && peek(c.fd) == nil { // bytes lie unread before it: they are handed over at Resume, and then the end
+			_ = unix.EpollCtl(c.loop.ep, unix.EPOLL_CTL_DEL, c.fd, nil) // or it would be told again and again
+			c.parked = true
+			c.tellEOF()
+			return
+		}
 		code, _ := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
 		if code == 0 {
 			code = int(unix.ECONNRESET)
@@ -394,6 +406,17 @@
 			return
 		}
 	}
+	if c.parked {
+		if c.paused {
+			return
+		}
+		ev := unix.EpollEvent{Events: unix.EPOLLIN, Fd: int32(c.fd)}
+		if err := unix.EpollCtl(c.loop.ep, unix.EPOLL_CTL_ADD, c.fd, &ev); err != nil {
+			c.fail(err)
+			return
+		}
+		c.parked, c.interest = false, unix.EPOLLIN
+	}
 	var want uint32
 	if !c.eof && (!c.paused || !c.noisy && c.interest&unix.EPOLLIN != 0) {
 		want |= unix.EPOLLIN
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -538,3 +538,58 @@
 	}
 	return fmt.Sprintf("127.0.0.1:%d", sa.(*unix.SockaddrInet4).Port)
 }
+
+// TestResetWhilePaused: what a peer sent before it reset the connection is handed over when a
+// paused handler goes on, and the end after it; the loop does not spin meanwhile.
+func TestResetWhilePaused(t *testing.T) {
+	l, do := start(t, Options{})
+	p := &pausing{told: make(chan string, 8)}
+	var served *Conn
+	ln := listen(t, l, do, func(c *Conn) Handler {
+		served = c
+		c.Patient()
+		c.Pause()
+		return p
+	})
+	expect := func(want string) {
+		t.Helper()
+		select {
+		case got := <-p.told:
+			if got != want {
+				t.Fatalf("told %q, want %q", got, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("not told %q", want)
+		}
+	}
+	c := dial(t, ln)
+	if _, err := c.Write([]byte("the end of it")); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetLinger(0); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	expect("eof")
+	var before, after uint64
+	do(func() { before = l.Turns() })
+	time.Sleep(20 * time.Millisecond)
+	do(func() {
+		after = l.Turns()
+		served.Resume()
+	})
+	if after-before > 10 {
+		t.Errorf("%d turns in 20 ms", after-before)
+	}
+	expect("the end of it")
+	expect("closed")
+}
+
+// pausing is told of a connection that is paused from the start.
+type pausing struct{ told chan string }
+
+func (p *pausing) Opened(*Conn)               {}
+func (p *pausing) Data(_ *Conn, b []byte) int { p.told <- string(b); return len(b) }
+func (p *pausing) EOF(*Conn)                  { p.told <- "eof" }
+func (p *pausing) Drained(*Conn)              {}
+func (p *pausing) Closed(*Conn, error)        { p.told <- "closed" }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -242,7 +242,7 @@
 			}
 		})
 	}
-	try(reloadTries)
+	go try(reloadTries) // whoever brings signals has others to bring
 }
 
 const (
--- /dev/null
+++ b/internal/platform/signals_test.go
@@ -0,0 +1,80 @@
+package platform
+
+import (
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain is the router itself where a test of signals has started it so.
+func TestMain(m *testing.M) {
+	if os.Getenv("MARTENLOCK_TEST_SERVE") == "" {
+		os.Exit(m.Run())
+	}
+	if err := Serve(os.Getenv, os.Stderr); err != nil {
+		os.Stderr.WriteString(err.Error())
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+// TestSignals: a router ends with 0 on SIGTERM, also where that comes before it is ready, twice,
+// or with SIGHUP, and while its file is slow to read. The file is a pipe: what opens it for writing
+// waits until the router reads it, and the router waits for what is written.
+func TestSignals(t *testing.T) {
+	for name, signals := range map[string][]syscall.Signal{
+		"once": {syscall.SIGTERM}, "twice": {syscall.SIGTERM, syscall.SIGTERM},
+		"after a word to read": {syscall.SIGHUP, syscall.SIGTERM}, "and before one": {syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := begin(t, "r1", "w1")
+			text, err := os.ReadFile(w.path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			pipe := w.path + ".pipe"
+			if err := syscall.Mkfifo(pipe, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			exe, err := os.Executable()
+			if err != nil {
+				t.Fatal(err)
+			}
+			cmd := exec.Command(exe)
+			cmd.Env = append(os.Environ(), "MARTENLOCK_TEST_SERVE=1", "PROXY_CONFIG="+pipe)
+			var log strings.Builder
+			cmd.Stderr = &log
+			if err := cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- cmd.Wait() }()
+			f, err := os.OpenFile(pipe, os.O_WRONLY, 0) // it reads its file: signals are heeded from before that
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, s := range signals {
+				if err := cmd.Process.Signal(s); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if _, err := f.Write(text); err != nil {
+				t.Fatal(err)
+			}
+			f.Close()
+			select {
+			case err := <-ended:
+				if err != nil {
+					t.Errorf("%v: %s", err, log.String())
+				}
+			case <-time.After(15 * time.Second):
+				_ = cmd.Process.Kill()
+				t.Errorf("it does not end: %s", log.String())
+			}
+		})
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -187,6 +187,7 @@
 		return nil, errors.Join(ErrNoConn, err)
 	}
 	k.c = c
+	c.Patient() // a response that is whole is passed on though its client is slow
 	if p.conns == nil {
 		p.conns = map[*Conn]struct{}{}
 	}
