--- a/control/control.go
+++ b/control/control.go
@@ -470,7 +470,10 @@
 	r.ready = r.ready[:0]
 	for _, s := range r.order {
 		if r.cells[s.Cell] == nil {
-			r.cells[s.Cell], r.zones[s.Zone] = &cell{zone: s.Zone}, &cell{}
+			r.cells[s.Cell] = &cell{zone: s.Zone}
+		}
+		if r.zones[s.Zone] == nil { // also where a list has one cell in two zones
+			r.zones[s.Zone] = &cell{}
 		}
 		if s.State != Ready {
 			continue
--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -246,3 +246,12 @@
 		}
 	}
 }
+
+// TestCellInTwoZones: a list that has one cell in two zones harms nobody.
+func TestCellInTwoZones(t *testing.T) {
+	s := start(t, settings(Reader, Writer))
+	s.do(0, Fleet{Full: true, Servers: []Server{{ID: 1, State: Ready, Weight: 1}, {ID: 2, State: Ready, Kind: 1, Zone: 1, Weight: 1}}})
+	if write := s.sent(s.read(s.sent(s.do(0, s.request(1, 0))), 0)); write.Server != 2 {
+		t.Errorf("written at %d", write.Server)
+	}
+}
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -381,3 +381,147 @@
 		}
 	})
 }
+
+// held lets the loop see all that fn brings about in one turn, in the order in which it came.
+func (w *world) held(fn func()) { w.Helper(); w.on(fn); w.on(func() {}) }
+
+// TestDrainAndRequestInOneTurn: an engine that is told to drain in the turn in which a request
+// comes gets nothing, whichever of the two came first.
+func TestDrainAndRequestInOneTurn(t *testing.T) {
+	for _, drainFirst := range []bool{true, false} {
+		w := begin(t, "r1", "w1")
+		client := w.dial()
+		w.look("it is here", func() bool { return len(w.r.fronts) == 1 })
+		w.held(func() {
+			if drainFirst {
+				w.change(w.engines[0].entry("terminating", 0))
+			}
+			unanswered(t, client, w.chat("ask"))
+			if !drainFirst {
+				w.change(w.engines[0].entry("terminating", 0))
+			}
+		})
+		if a := read(bufio.NewReader(client)); a.code != 503 || w.posts()[0] != 0 {
+			t.Errorf("drain first %v: %d, %d sent", drainFirst, a.code, w.posts()[0])
+		}
+	}
+}
+
+// TestLeftInOneTurn: a client that leaves in the turn in which its request comes, or in which an
+// engine turns the request away, or has read it, or begins its answer, gets no further attempt.
+func TestLeftInOneTurn(t *testing.T) {
+	for _, answer := range []string{"", status(503, "X-Rejected: 1\r\n"), status(500, ""), "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n", "reset"} {
+		for _, leaveFirst := range []bool{true, false} {
+			if answer == "" && leaveFirst {
+				continue
+			}
+			w := begin(t, "r1", "r1", "w1")
+			var conn net.Conn
+			got := make(chan net.Conn, 4)
+			for _, e := range w.engines[:2] {
+				e.do(func(r *request) bool {
+					if r.method == "POST" {
+						got <- r.conn
+						select {} // the test answers
+					}
+					return good(r)
+				})
+			}
+			client := w.dial()
+			if answer != "" {
+				io.WriteString(client, w.chat("ask"))
+				conn = <-got
+			} else {
+				w.look("it is here", func() bool { return len(w.r.fronts) == 1 })
+			}
+			w.held(func() {
+				if leaveFirst {
+					client.Close()
+				}
+				switch answer {
+				case "":
+					unanswered(t, client, w.chat("ask"))
+				case "reset":
+					conn.(*net.TCPConn).SetLinger(0)
+					conn.Close()
+				default:
+					unanswered(t, conn, answer)
+				}
+				if !leaveFirst {
+					client.Close()
+				}
+			})
+			w.look("it is over", func() bool { return len(w.r.live) == 0 && w.r.letgo.Len() == 0 })
+			n, want := w.posts(), 1
+			if answer == "" {
+				want = 0
+			}
+			if n[0]+n[1] > want || n[2] != 0 {
+				t.Errorf("%q, left first %v: %v sent", answer, leaveFirst, n)
+			}
+		}
+	}
+}
+
+// TestDeadlineAndAnswerInOneTurn: an answer that begins before the loop sees that its time is up
+// is the client's; a time-out that is seen alone is final, and what comes later is nobody's.
+func TestDeadlineAndAnswerInOneTurn(t *testing.T) {
+	w := begin(t, "r1", "w1")
+	got := make(chan net.Conn, 1)
+	w.engines[1].do(func(r *request) bool {
+		if r.method == "POST" {
+			got <- r.conn
+			select {}
+		}
+		return good(r)
+	})
+	client := w.dial()
+	io.WriteString(client, w.chat("note", "4000m", "600m"))
+	conn := <-got
+	w.held(func() {
+		time.Sleep(700 * time.Millisecond) // a loop held up beyond the deadline
+		unanswered(t, conn, whole)
+	})
+	if a := read(bufio.NewReader(client)); a.code != 200 || !a.whole {
+		t.Errorf("%d %s", a.code, a.body)
+	}
+}
+
+// TestBrokenAtEachByte: an unsafe request whose connection ends after so many of its bytes were
+// read is never sent again, and never refused, once its last byte had left here.
+func TestBrokenAtEachByte(t *testing.T) {
+	for n := 1; n < 240; n += 13 { // of some 247
+		w := begin(t, "r1", "w1", "w1")
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.closers.add(ln)
+		posts := make(chan struct{}, 10)
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				b := make([]byte, n)
+				if _, err := io.ReadFull(c, b[:1]); err == nil && b[0] == 'P' {
+					posts <- struct{}{}
+					io.ReadFull(c, b[1:])
+				}
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+			}
+		}()
+		var entries []string
+		for _, e := range w.engines[1:] {
+			e.elsewhere = ln.Addr().String()
+			entries = append(entries, e.entry("in_service", 0))
+		}
+		w.change(entries...)
+		w.look("the list is taken", func() bool { return w.r.table.Revision() == 2 })
+		if a := w.ask(w.chat("note")); a.code != 502 || len(posts) != 1 {
+			t.Errorf("after %d bytes: %d, sent %d times", n, a.code, len(posts))
+		}
+	}
+}
