--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -525,3 +525,66 @@
 		}
 	}
 }
+
+// TestStopPhases: at SIGTERM a stream is passed on to its end, and a request that lies unread
+// behind it is refused unsent; one that is half read is served where the rest comes within the grace,
+// and refused unsent where it comes later.
+func TestStopPhases(t *testing.T) {
+	w := begin(t, "r1", "w1")
+	hold := make(chan struct{})
+	w.engines[1].do(func(r *request) bool {
+		if r.method != "POST" || r.id != "c1" {
+			return good(r)
+		}
+		r.say(chunkedHead + chunk(first))
+		<-hold
+		return r.say(chunk(second) + chunk(done) + lastChunk)
+	})
+	streaming, early, late := w.dial(), w.dial(), w.dial()
+	io.WriteString(streaming, w.chat("note")+w.chat("note"))
+	texts := []string{w.chat("note"), w.chat("note")}
+	for i, c := range []net.Conn{early, late} {
+		io.WriteString(c, texts[i][:len(texts[i])-10])
+	}
+	w.until("it is written", func() bool { return w.posts()[1] == 1 })
+	w.look("all have begun", func() bool {
+		n := 0
+		for f := range w.r.fronts {
+			if f.begun {
+				n++
+			}
+		}
+		return n == 3
+	})
+	w.r.Shutdown()
+	w.look("it stops", func() bool { return w.r.stopping })
+	io.WriteString(early, texts[0][len(texts[0])-10:])
+	if a := read(bufio.NewReader(early)); a.code != 200 {
+		t.Errorf("in the grace: %d %s", a.code, a.body)
+	}
+	w.on(func() {
+		w.r.loop.Stop(&w.r.stop)
+		w.r.stop.Fire()
+	})
+	io.WriteString(late, texts[1][len(texts[1])-10:])
+	if a := read(bufio.NewReader(late)); a.code != 503 {
+		t.Errorf("after the grace: %d %s", a.code, a.body)
+	}
+	close(hold)
+	b := bufio.NewReader(streaming)
+	if a := read(b); a.code != 200 || !a.whole || a.body != events {
+		t.Errorf("the stream: %+v", a)
+	}
+	if a := read(b); a.code != 503 { // its stream's head had told that the connection stays
+		t.Errorf("what lay behind it: %+v", a)
+	}
+	if n := w.posts(); n[0] != 2 || n[1] != 2 {
+		t.Errorf("%v sent", n)
+	}
+	select {
+	case err := <-w.ended:
+		w.ended <- err
+	case <-time.After(5 * time.Second):
+		t.Error("it does not end")
+	}
+}
