--- a/control/control.go
+++ b/control/control.go
@@ -553,9 +553,9 @@
 	r.do(a)
 }
 
-// leaveBy is when the last byte of a request's next attempt must have left. The dangers are a state that stays
-// pinned while one writer after another never comes up, and a repeat that comes when its engines have forgotten
-// the first: either way a connection that takes its time is no send yet.
+// leaveBy is when the last byte of a request's next attempt must have left. The dangers are a state that
+// stays pinned while one writer after another never comes up, and a repeat that comes when its engines have
+// forgotten the first: either way a connection that takes its time is no send yet.
 func (r *Router) leaveBy(q *request) Time {
 	by := Time(math.MaxInt64)
 	if q.holder != nil && r.set.PinLimit > 0 {
