--- a/control/cold_test.go
+++ b/control/cold_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -53,6 +54,8 @@
 	list    []Server
 	lastID  RequestID
 	served  int
+	size    map[RequestID]float64 // work of a request, over the usual; 1 where it is not in here
+	done    map[RequestID]bool    // those answered in time
 }
 
 func (f *coldFleet) after(d time.Duration, do func()) {
@@ -87,7 +90,7 @@
 		case Send:
 			e := f.engines[a.Server]
 			e.sends = append(e.sends, f.now)
-			service := e.service
+			service := time.Duration(float64(e.service) * cmp.Or(f.size[a.ID], 1))
 			if f.now.Sub(e.Since) < f.set.ColdFor && e.Since != 0 {
 				service = time.Duration(float64(service) / f.set.ColdFrom)
 			}
@@ -106,6 +109,9 @@
 			} else {
 				out.Final = true
 				f.served++
+				if f.done != nil {
+					f.done[a.ID] = true
+				}
 			}
 			later(out.Took, out)
 		}
@@ -217,3 +223,72 @@
 		}
 	}
 }
+
+// TestQuietDayIsFair: on a quiet day the tenth of the requests with the longest prompts gets two
+// thirds of its class's share of answers at least, and no session is refused throughout, by 5 to
+// 300 routers.
+func TestQuietDayIsFair(t *testing.T) {
+	for _, c := range []struct{ routers, each int }{{5, 6}, {25, 12}, {300, 40}} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprintf("%+v/%d", c, seed), func(t *testing.T) {
+				t.Parallel()
+				set := settings(Reader, Writer)
+				set.Routers, set.MayProbe, set.KindMemory = c.routers, true, []float64{0, 60000}
+				f := &coldFleet{set: set, rng: rand.New(rand.NewPCG(seed, 9)), now: Time(time.Hour.Microseconds()), engines: map[ServerID]*coldEngine{},
+					routers: make([]*Router, c.routers), born: make([]int, c.routers), size: map[RequestID]float64{}, done: map[RequestID]bool{}}
+				for _, s := range servers(c.each, c.each) {
+					f.engines[s.ID] = &coldEngine{Server: s, service: 40 * ms}
+					f.list = append(f.list, s)
+				}
+				for i := range f.routers {
+					f.restart(i)
+				}
+				start := f.now
+				sessions, large := map[uint64][]RequestID{}, map[RequestID]bool{}
+				for i := range f.routers {
+					var arrive func()
+					arrive = func() {
+						f.lastID++
+						id, prompt := f.lastID, 1000.0
+						if f.rng.IntN(10) == 0 {
+							prompt, large[id] = 6000, true
+							f.size[id] = 3
+						}
+						session := uint64(i*20+f.rng.IntN(20)) + 1
+						sessions[session] = append(sessions[session], id)
+						f.tell(i, Request{ID: id, Session: session, Prefix: f.rng.Uint64N(20) + 1, PromptLen: prompt, PrefixLen: 300, MaxTokens: 100, Deadline: f.now.Add(4 * time.Second)})
+						rate := 0.45 * 25 * float64(c.each) / float64(c.routers)
+						f.after(time.Duration(f.rng.ExpFloat64()/rate*float64(time.Second)), arrive)
+					}
+					f.after(time.Duration(f.rng.Float64()*float64(time.Second)), arrive)
+				}
+				for len(f.queue) > 0 && f.queue[0].at < start.Add(20*time.Second) {
+					h := heap.Pop(&f.queue).(happening)
+					f.now = h.at
+					h.do()
+				}
+				all, largest, answered, shut := 0.0, 0.0, 0.0, 0
+				for id := RequestID(1); id <= f.lastID; id++ {
+					if f.done[id] {
+						answered++
+					}
+					if large[id] {
+						if all++; f.done[id] {
+							largest++
+						}
+					}
+				}
+				for _, ids := range sessions {
+					if len(ids) >= 4 && !slices.ContainsFunc(ids, func(id RequestID) bool { return f.done[id] }) {
+						shut++
+					}
+				}
+				share, ofLarge := answered/float64(f.lastID), largest/all
+				t.Logf("answered %.3f, of the largest %.3f, %d of %d sessions not at all", share, ofLarge, shut, len(sessions))
+				if share < 0.9 || ofLarge < share*2/3 || shut > 0 {
+					t.Errorf("answered %.3f, of the largest %.3f, %d of %d sessions not at all", share, ofLarge, shut, len(sessions))
+				}
+			})
+		}
+	}
+}
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -588,3 +588,55 @@
 		t.Error("it does not end")
 	}
 }
+
+// TestEventsAsTheyCome: each event reaches its client by itself and at once, while a neighbour's
+// client takes nothing and others keep the router busy.
+func TestEventsAsTheyCome(t *testing.T) {
+	const most = 300 * time.Millisecond
+	w := begin(t, "r1", "w1")
+	big := `data: {"a":"` + strings.Repeat("x", 8000) + "\"}\n\n"
+	wrote := make(chan time.Time, 20)
+	took := make(chan struct{})
+	w.engines[1].do(func(r *request) bool {
+		switch {
+		case r.method == "POST" && r.id == "c1": // whose client has stopped
+			r.say(chunkedHead)
+			for range 200 {
+				r.say(chunk(big))
+			}
+			return r.say(lastChunk)
+		case r.method == "POST" && r.id == "c2":
+			r.say(chunkedHead)
+			for range 10 {
+				wrote <- time.Now()
+				if !r.say(chunk(first)) {
+					return false
+				}
+				<-took // the next one only when this one is there
+			}
+			return r.say(lastChunk)
+		}
+		return good(r)
+	})
+	stopped, client := w.dial(), w.dial()
+	io.WriteString(stopped, w.chat("ask"))
+	w.until("its stream is under way", func() bool { return w.posts()[1] == 1 })
+	io.WriteString(client, w.chat("note"))
+	b := bufio.NewReader(client)
+	for seen := 0; seen < 10; {
+		line, err := b.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.HasPrefix(line, "data:") {
+			if late := time.Since(<-wrote); late > most {
+				t.Errorf("event %d came after %v", seen, late)
+			}
+			seen++
+			if a := w.ask(w.chat("ask")); a.code != 200 {
+				t.Error(a.code)
+			}
+			took <- struct{}{}
+		}
+	}
+}
