letgo: the test of calls at one engine says how many itself

With mostEach raised to 400 TestBounds passed, since it compared with that constant; it wants four now and fails. More guards taken out on a scratch copy, each failing its test: the time of a call, an old list's ends, what newer word ended, a moved engine, a spoilt end.

--- a/control/letgo/letgo_test.go
+++ b/control/letgo/letgo_test.go
@@ -103,7 +103,7 @@
 	}
 	each := map[control.ServerID]int{}
 	for _, a := range asks {
-		if each[a.Server]++; each[a.Server] > mostEach {
+		if each[a.Server]++; each[a.Server] > 4 { // an engine that has just fallen silent holds up no more
 			t.Errorf("%d calls at engine %d", each[a.Server], a.Server)
 		}
 	}
