Discovery's warnings go on after many kinds of them

Found on reading the change again: warn said nothing more once 64 kinds were remembered (each status is one), known kinds included. TestWarnings fails without the change; 20 runs.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -227,7 +227,7 @@
 // warn logs what may go on for long once in a while.
 func (r *Router) warn(what string, err error) {
 	now := r.loop.Now()
-	if last, ok := r.warned[what]; ok && now-last < warnEvery || len(r.warned) >= mostWarned {
+	if last, ok := r.warned[what]; ok && now-last < warnEvery || !ok && len(r.warned) >= mostWarned {
 		return
 	}
 	r.warned[what] = now
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -201,3 +201,22 @@
 		return s.State == control.Draining && s.Kind == 1 && s.Addr.String() == w.engines[1].ln.Addr().String()
 	})
 }
+
+// TestWarnings: what goes on for long is said once in a while, also after very many kinds.
+func TestWarnings(t *testing.T) {
+	w := begin(t, "r1", "w1")
+	w.on(func() {
+		for i := range 2 * mostWarned {
+			w.r.warn(fmt.Sprint("kind ", i), nil)
+		}
+		if n := len(w.r.warned); n != mostWarned {
+			t.Errorf("%d kinds are remembered", n)
+		}
+		long := w.r.loop.Now() - 2*warnEvery
+		w.r.warned["kind 0"] = long
+		w.r.warn("kind 0", nil)
+		if w.r.warned["kind 0"] == long {
+			t.Error("a kind that is known is not said again")
+		}
+	})
+}
