--- a/internal/platform/fleet_test.go
+++ b/internal/platform/fleet_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -31,6 +32,7 @@
 	prefillThenReset     = "prefill, then reset"      // retains the KV state and resets the connection in place of an answer
 	decodeWithoutAnswer  = "decode without answer"    // takes the request and is silent
 	decodeKVStateMissing = "decode, KV state missing" // rejects: it can't fetch the KV state
+	prefillOnce          = "prefill once"             // is silent from the second prefill on
 )
 
 // engineEventKind is what an engine process did for a request.
@@ -67,6 +69,7 @@
 // engineServer answers the platform's protocol as an engine.
 type engineServer struct {
 	behavior string
+	prefills atomic.Int64
 	mu       sync.Mutex
 	events   *json.Encoder
 }
@@ -93,6 +96,15 @@
 		s.report(kvRetained, requestID)
 		w.WriteHeader(http.StatusAccepted)
 		_, _ = io.WriteString(w, `{"cached_tokens":12}`)
+	case prefillOnce:
+		s.report(prefillTaken, requestID)
+		if s.prefills.Add(1) > 1 {
+			<-r.Context().Done()
+			return
+		}
+		s.report(kvRetained, requestID)
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = io.WriteString(w, `{"cached_tokens":12}`)
 	case prefillThenReset:
 		s.report(prefillTaken, requestID)
 		s.report(kvRetained, requestID)
@@ -124,11 +136,33 @@
 }
 
 // stop has the process do nothing any more; its connections stay open, and new ones are established.
-func (e *engineProcess) stop(t *testing.T) {
-	t.Helper()
+// It returns once the process has stopped.
+func (e *engineProcess) stop(f *fleet) {
+	f.Helper()
 	if err := e.command.Process.Signal(syscall.SIGSTOP); err != nil {
-		t.Fatal(err)
+		f.Fatal(err)
+	}
+	f.waitFor("the process is stopped", func() bool { return isStopped(f.T, e.command.Process.Pid) })
+}
+
+// isStopped tells whether all threads of a process are stopped (proc(5)).
+func isStopped(t *testing.T, pid int) bool {
+	t.Helper()
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(threads) == 0 {
+		t.Fatal("no threads of ", pid, err)
+	}
+	for _, path := range threads {
+		stat, err := os.ReadFile(path)
+		if err != nil {
+			return false // the thread has ended meanwhile
+		}
+		_, afterName, _ := strings.Cut(string(stat), ") ")
+		if !strings.HasPrefix(afterName, "T") {
+			return false
+		}
 	}
+	return true
 }
 
 // entry is the engine's entry in the endpoint list.
@@ -148,6 +182,7 @@
 	target   string
 	closers  *closers
 	mu       sync.Mutex
+	clients  []net.Conn
 	isCut    bool
 }
 
@@ -159,6 +194,9 @@
 			return
 		}
 		p.closers.add(client)
+		p.mu.Lock()
+		p.clients = append(p.clients, client)
+		p.mu.Unlock()
 		engine, err := net.Dial("tcp", p.target)
 		if err != nil {
 			client.Close()
@@ -197,17 +235,42 @@
 	p.mu.Unlock()
 }
 
+// reset resets the connections that clients have made so far.
+func (p *silentProxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, client := range p.clients {
+		_ = client.(*net.TCPConn).SetLinger(0)
+		client.Close()
+	}
+	p.clients = nil
+}
+
 // fleet is a router and engines in processes of their own, and a discovery of the test's.
 type fleet struct {
 	*testing.T
 	closers  closers
 	engines  []*engineProcess
-	router   string // where it listens
+	router   *routerProcess
 	mu       sync.Mutex
 	events   []engineEvent
 	requests int
 }
 
+// routerProcess is a router in a process of its own.
+type routerProcess struct {
+	command *exec.Cmd
+	address string
+}
+
+// signal sends the router a signal.
+func (f *fleet) signal(signal syscall.Signal) {
+	f.Helper()
+	if err := f.router.command.Process.Signal(signal); err != nil {
+		f.Fatal(err)
+	}
+}
+
 // engineSpec describes an engine process to start.
 type engineSpec struct {
 	behavior string
@@ -347,7 +410,7 @@
 	if err := os.WriteFile(path, config, 0o600); err != nil {
 		f.Fatal(err)
 	}
-	_, _, log := f.startProcess(routerProcessVariable+"=1", "PROXY_CONFIG="+path)
+	command, _, log := f.startProcess(routerProcessVariable+"=1", "PROXY_CONFIG="+path)
 	var line struct{ Message, Listen string }
 	for line.Message != "serving" {
 		text, err := log.ReadBytes('\n')
@@ -356,7 +419,7 @@
 		}
 		_ = json.Unmarshal(text, &line)
 	}
-	f.router = line.Listen
+	f.router = &routerProcess{command: command, address: line.Listen}
 	go f.copyLog(log)
 }
 
@@ -376,11 +439,18 @@
 // ask sends a request of a class on a new connection and returns its id and the answer, which
 // comes when the client has had it.
 func (f *fleet) ask(class string, edits ...string) (requestID string, answered <-chan clientAnswer) {
+	f.Helper()
+	requestID, _, answered = f.askOn(class, edits...)
+	return requestID, answered
+}
+
+// askOn is ask, and returns the connection too.
+func (f *fleet) askOn(class string, edits ...string) (requestID string, conn net.Conn, answered <-chan clientAnswer) {
 	f.Helper()
 	f.requests++
 	requestID = fmt.Sprintf("c%d", f.requests)
 	request := (&harness{T: f.T, requestCount: f.requests - 1}).chat(class, edits...)
-	conn, err := net.Dial("tcp", f.router)
+	conn, err := net.Dial("tcp", f.router.address)
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -391,7 +461,7 @@
 		_, _ = io.WriteString(conn, request)
 		answer <- readAnswer(bufio.NewReader(conn))
 	}()
-	return requestID, answer
+	return requestID, conn, answer
 }
 
 // eventsOf returns what engines reported of a request, in order of time.
--- a/internal/platform/retention_test.go
+++ b/internal/platform/retention_test.go
@@ -1,6 +1,11 @@
 package platform
 
 import (
+	"cmp"
+	"net"
+	"slices"
+	"strconv"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -56,15 +61,102 @@
 					t.Fatalf("warming up: %d", answer.code)
 				}
 			}
-			for _, e := range f.engines[1:] {
-				if test.isProxied {
-					e.proxy.cut()
-				} else {
-					e.stop(t)
+			f.silence(f.engines[1:]...)
+			requestID, _ := f.ask(test.class)
+			f.checkRetention(requestID)
+		})
+	}
+}
+
+// silence has engines fall silent: those behind a proxy are cut off, the others stopped.
+func (f *fleet) silence(engines ...*engineProcess) {
+	f.Helper()
+	for _, e := range engines {
+		if e.proxy != nil {
+			e.proxy.cut()
+		} else {
+			e.stop(f)
+		}
+	}
+}
+
+// TestKVStateReleasedWhateverElseHappens: while a decode attempt is silent, its client leaves, the router is held
+// up or shuts down, the connection is reset late, and most other engines are silent too.
+func TestKVStateReleasedWhateverElseHappens(t *testing.T) {
+	prefill := engineSpec{behavior: prefillBehavior}
+	decode := engineSpec{behavior: decodeBehavior}
+	proxied := engineSpec{behavior: decodeBehavior, proxied: true}
+	for name, test := range map[string]struct {
+		engines []engineSpec
+		class   string // note where it is empty
+		disturb func(f *fleet, conn net.Conn)
+	}{
+		"client leaves": {engines: []engineSpec{prefill, decode, decode}, disturb: func(f *fleet, conn net.Conn) {
+			conn.Close()
+		}},
+		"router held up": {engines: []engineSpec{prefill, decode, decode}, disturb: func(f *fleet, conn net.Conn) {
+			time.Sleep(200 * time.Millisecond)
+			f.signal(syscall.SIGSTOP)
+			time.Sleep(150 * time.Millisecond)
+			f.signal(syscall.SIGCONT)
+		}},
+		"router shuts down": {engines: []engineSpec{prefill, decode, decode}, disturb: func(f *fleet, conn net.Conn) {
+			f.signal(syscall.SIGTERM)
+		}},
+		"connection reset late, next one silent": {engines: []engineSpec{prefill, proxied, proxied}, class: "ask", disturb: func(f *fleet, conn net.Conn) {
+			time.Sleep(200 * time.Millisecond)
+			f.engines[1].proxy.reset()
+			f.engines[2].proxy.reset()
+		}},
+		"five of six engines silent": {engines: []engineSpec{prefill, decode, decode, decode, decode, decode}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, test.engines...)
+			for range 6 {
+				_, answered := f.ask("ask")
+				if answer := <-answered; answer.code != 200 {
+					t.Fatalf("warming up: %d", answer.code)
 				}
 			}
-			requestID, _ := f.ask(test.class)
+			f.silence(f.engines[1:]...)
+			requestID, conn, _ := f.askOn(cmp.Or(test.class, "note"))
+			f.waitFor("the prefill", func() bool { return f.retainedFor(requestID) > 0 })
+			if test.disturb != nil {
+				test.disturb(f, conn)
+			}
 			f.checkRetention(requestID)
 		})
 	}
 }
+
+// TestKVStateOfEarlierPrefillReleased: a prefill whose connection was reset may have left KV state, as may one
+// whose state a decode engine could not fetch. The further attempt is silent.
+func TestKVStateOfEarlierPrefillReleased(t *testing.T) {
+	for name, engines := range map[string][]engineSpec{
+		"prefill reset":    {{behavior: prefillThenReset}, {behavior: prefillBehavior}, {behavior: decodeBehavior}},
+		"KV state missing": {{behavior: prefillOnce}, {behavior: decodeKVStateMissing}, {behavior: decodeKVStateMissing}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, engines...)
+			if engines[1].behavior == prefillBehavior {
+				f.silence(f.engines[1])
+			}
+			var requestIDs []string
+			for range 4 { // which prefill engine a request meets depends on its session
+				requestID, _ := f.ask("note", "7f3a9c21e0b4d655", strconv.Itoa(1000+f.requests), "prefix=5c0f6e1a2b3d4c59,", "")
+				requestIDs = append(requestIDs, requestID)
+			}
+			var retained string
+			f.waitFor("a request meets the engine that retains its state", func() bool {
+				i := slices.IndexFunc(requestIDs, func(id string) bool { return f.retainedFor(id) > 0 })
+				if i >= 0 {
+					retained = requestIDs[i]
+				}
+				return i >= 0
+			})
+			f.checkRetention(retained)
+		})
+	}
+}
