KV state is released while nothing proves that its attempt has arrived

On sockets an attempt counts once it has arrived, and of that only an engine's answer is proof: connections fall silent while they stay open. Two related faults: Reset, Cancelled and TimedOut started the state's time anew (retry.go), and exchange.Forward withdrew a pending release before the further attempt had reached anybody.

Releases are withdrawn when a further prefill has ended. Engines without a sign of an attempt are called last. Attempts must be sent two ticks earlier, so that a release after them arrives in time.

Tests changed: TestKVStateIsNotRetainedWhileDecodeEnginesAreUnreachable wants the send 100 ms earlier. TestRandomEventsKeepTheRules' walker knows which attempts arrived.

--- a/control/api.go
+++ b/control/api.go
@@ -134,6 +134,9 @@
 	CanCancel        bool // CancelAttempt is carried out
 	MustSubscribe    bool // the endpoint list has to be asked for, with SubscribeEndpoints
 	DecodeCanPrefill bool // a decode engine computes a prompt that comes without a KV state
+	// ReleaseSparesAttempts tells that ReleaseKV leaves a KV state to an attempt that has reached its engine
+	// and waits for it: it may be asked for while an attempt is in flight.
+	ReleaseSparesAttempts bool
 
 	MaxAttempts      int           // of one request
 	MaxRetryAfter    time.Duration // longest delay that a rejected client honours; 0 for clients that honour none
@@ -360,9 +363,10 @@
 	ReleasedAtFinish                     // the request has ended, and its answer had not begun
 	ReleasedForLateOutcome               // an attempt ended after its request
 	ReleasedAsKVMissing                  // a decode engine could not fetch the KV state
+	ReleasedWithoutProof                 // nothing proves that the attempt for it has reached its engine
 )
 
-var releaseReasonNames = [...]string{"unspecified", "request_finished", "late_outcome", "kv_missing"}
+var releaseReasonNames = [...]string{"unspecified", "request_finished", "late_outcome", "kv_missing", "arrival_not_proven"}
 
 // String names a reason.
 func (r ReleaseReason) String() string {
--- a/control/golden_scripts_test.go
+++ b/control/golden_scripts_test.go
@@ -161,6 +161,8 @@
 			answerMean: 100, sessions: 90, prefixes: 30, reports: 0.5, faults: widespreadFaults()},
 		{name: "silence", seed: 13, length: 40 * second, fleet: pool(6, 6, 0), rate: 40, promptMean: 800, answerMean: 100,
 			sessions: 40, prefixes: 5, reports: 0.5, faults: silences()},
+		{name: "silence-on-sockets", seed: 13, length: 40 * second, fleet: pool(6, 6, 0), rate: 40, promptMean: 800, answerMean: 100,
+			sessions: 40, prefixes: 5, reports: 0.5, faults: silences(), configure: releaseUnderAttempts},
 		{name: "churn", seed: 14, length: 60 * second, fleet: pool(8, 8, 3), rate: 50, promptMean: 800, answerMean: 150,
 			sessions: 60, prefixes: 6, reports: 0.5, changes: churns(14, 700*time.Millisecond, 60*second),
 			faults: []fault{{kind: faultSilent, from: 8 * second, to: 55 * second, chance: 0.4}}},
@@ -262,6 +264,9 @@
 	return append(list, half(7, 12, faultUnsent, 23*second, 27*second, 0.5)...)
 }
 
+// releaseUnderAttempts lets releases be asked for while attempts are in flight.
+func releaseUnderAttempts(set *control.Settings) { set.ReleaseSparesAttempts = true }
+
 // withoutProbes leaves signs of life to requests alone.
 func withoutProbes(set *control.Settings) { set.CanHealthCheck = false }
 
--- a/control/kvrelease/endpoints.go
+++ b/control/kvrelease/endpoints.go
@@ -51,6 +51,13 @@
 	}
 }
 
+// recordSilence counts as a failure that an engine has not responded to anything since a time.
+func (t *endpointTable) recordSilence(now, since control.Time, id control.EndpointID) {
+	if t.lastResponse[id] <= since {
+		t.recordFailure(now, id)
+	}
+}
+
 func (t *endpointTable) startCall(id control.EndpointID) { t.callsInFlight[id]++ }
 
 func (t *endpointTable) endCall(id control.EndpointID) {
--- a/control/kvrelease/kvrelease.go
+++ b/control/kvrelease/kvrelease.go
@@ -132,6 +132,12 @@
 	s.endpoints.recordFailure(now, id)
 }
 
+// RecordSilence records that an engine was given something at a time and has shown no sign of it.
+// Where it has responded to anything since, its connections may differ, and nothing is recorded.
+func (s *Scheduler) RecordSilence(now, since control.Time, id control.EndpointID) {
+	s.endpoints.recordSilence(now, since, id)
+}
+
 // Completion is what the end of a call made of its release.
 type Completion struct {
 	Pending  bool          // the release was pending before the call ended
--- a/control/kvrelease/kvrelease_test.go
+++ b/control/kvrelease/kvrelease_test.go
@@ -179,3 +179,19 @@
 		t.Errorf("%d calls in flight", mostInFlight)
 	}
 }
+
+// TestSilentEngineIsCalledLast: an engine that has shown no sign of something it was given is called after the
+// others, unless it has responded to anything since.
+func TestSilentEngineIsCalledLast(t *testing.T) {
+	for respondedAt, want := range map[time.Duration]control.EndpointID{10 * ms: 1, 60 * ms: 2} {
+		scheduler := New(500 * ms)
+		scheduler.SetEndpoints([]control.EndpointID{1, 2})
+		scheduler.RecordResponse(at(5*ms), 1)
+		scheduler.RecordResponse(at(respondedAt), 2)
+		scheduler.RecordSilence(at(300*ms), at(50*ms), 2)
+		scheduler.Enqueue(at(300*ms), "q")
+		if calls := scheduler.Poll(at(300 * ms)); len(calls) != 1 || calls[0].Endpoint != want {
+			t.Errorf("responded at %v: called %v, want engine %d", respondedAt, calls, want)
+		}
+	}
+}
--- a/control/retry.go
+++ b/control/retry.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"container/heap"
 	"math"
 	"time"
@@ -42,8 +43,8 @@
 // its engines have forgotten the first: either way a connection that takes its time has sent nothing yet.
 func (r *Router) sendDeadline(request *request) Time {
 	deadline := Time(math.MaxInt64)
-	if request.kvHolder != nil && r.settings.KVRetentionLimit > 0 {
-		deadline = request.kvRetainedSince.Add(r.settings.KVRetentionLimit)
+	if request.kvHolder != nil {
+		deadline = r.releaseDeadline(request)
 	}
 	first := request.firstExecution
 	if first.endpoint != nil && request.class.Idempotency == IdempotentWithKey {
@@ -73,9 +74,8 @@
 	}
 	target.removeAttempt(request)
 	r.capacity.add(target, request, -1)
-	if event.Result != ConnectFailed && event.Result != NotSent { // what never got through takes nothing
-		request.kvRetainedSince = r.now
-	}
+	wasReleased := request.retention.released
+	request.retention.recordOutcome(event.Result, r.now)
 	r.recordReport(target, event.Report)
 	r.recordOutcome(request, target, event)
 	request.serviceTime += event.Elapsed
@@ -89,11 +89,12 @@
 		r.finish(request)
 		return
 	}
-	r.followUp(request, target, event)
+	r.followUp(request, target, event, wasReleased)
 }
 
-// followUp decides what comes after an attempt that did not end its request.
-func (r *Router) followUp(request *request, target *endpoint, event Outcome) {
+// followUp decides what comes after an attempt that did not end its request; wasReleased tells that its KV
+// state was released under it. A prompt whose KV state is forfeited is computed anew only in time.
+func (r *Router) followUp(request *request, target *endpoint, event Outcome, wasReleased bool) {
 	if event.Result.MayHaveExecuted() && target.role != RolePrefill && request.firstExecution.endpoint == nil {
 		request.firstExecution = execution{endpoint: target, sentAt: request.latest.sentAt}
 	}
@@ -107,6 +108,10 @@
 	if event.Result != PrefillDone {
 		request.excluded = append(request.excluded, target)
 	}
+	if r.forfeitKV(request, event.Result, wasReleased) && r.missesObjective(request) {
+		r.finishWithoutService(request, cmp.Or(r.retryObstacle(request), FinishedMissingObjective))
+		return
+	}
 	r.retry(request)
 }
 
@@ -127,11 +132,11 @@
 		request.excluded = nil
 		target = place(request)
 	}
-	limit := min(request.kvRetainedSince.Add(r.settings.KVRetentionLimit), request.Deadline)
+	mayPark := r.now < r.releaseDeadline(request) && r.now.Add(finishReserve) < request.Deadline
 	switch {
 	case target != nil:
 		r.forward(request, target)
-	case request.kvHolder != nil && r.now.Add(finishReserve) < limit:
+	case request.kvHolder != nil && mayPark:
 		r.parked = append(r.parked, request)
 	default:
 		r.finishWithoutService(request, FinishedWithoutEndpoint)
--- a/control/retry_test.go
+++ b/control/retry_test.go
@@ -167,12 +167,12 @@
 			if len(forwards) == 0 {
 				break
 			}
-			if left := retainedSince.Add(500 * ms).Sub(s.now); forwards[0].SendWithin != left || left <= 0 {
-				t.Fatalf("class %d, attempt %d: must be sent within %v, and the KV state's time ends in %v", class, attempt, forwards[0].SendWithin, left)
+			if left := retainedSince.Add(400 * ms).Sub(s.now); forwards[0].SendWithin != left || left <= 0 {
+				t.Fatalf("class %d, attempt %d: must be sent within %v, and its KV state must be released in %v", class, attempt, forwards[0].SendWithin, left)
 			}
 			actions = s.handle(min(forwards[0].SendWithin, 200*ms), Outcome{ID: 1, Attempt: attempt, Endpoint: forwards[0].Endpoint, Result: ConnectFailed})
 		}
-		if len(actionsOf[ReleaseKV](actions)) == 0 || len(actionsOf[Reject](actions)) != 1 || s.now > retainedSince.Add(500*ms) {
+		if len(actionsOf[ReleaseKV](actions)) == 0 || len(actionsOf[Reject](actions)) != 1 || s.now > retainedSince.Add(400*ms) {
 			t.Errorf("class %d, %v after the prefill: %v", class, s.now.Sub(retainedSince), actions)
 		}
 	}
@@ -180,7 +180,7 @@
 	s := startRouter(t, testSettings(RolePrefill, RoleDecode), 0, 1, 1)
 	s.handle(0, s.request(1, 0))
 	decode := s.onlyForward(s.handle(20*ms, Outcome{ID: 1, Endpoint: 1, Result: PrefillDone, Elapsed: 20 * ms}))
-	if again := s.onlyForward(s.handle(400*ms, Outcome{ID: 1, Attempt: 1, Endpoint: decode.Endpoint, Result: Rejected})); again.SendWithin != 500*ms {
+	if again := s.onlyForward(s.handle(400*ms, Outcome{ID: 1, Attempt: 1, Endpoint: decode.Endpoint, Result: Rejected})); again.SendWithin != 400*ms {
 		t.Errorf("after a decode engine's answer: must be sent within %v", again.SendWithin)
 	}
 }
--- a/control/router.go
+++ b/control/router.go
@@ -88,6 +88,7 @@
 	r.do(SetTimer{After: tickInterval})
 	r.promote()
 	r.retryParked()
+	r.releaseUnproven()
 	for _, e := range r.endpoints.all {
 		r.checkProgress(e)
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -86,10 +86,10 @@
 	hasFirstToken   bool // its answer streams to the client
 	finished        bool // has its final answer; kept only while an attempt is in flight
 
-	kvHolder        *endpoint // the prefill engine that retains the KV state; nil for none
-	kvRetainedSince Time      // or the end of the latest attempt that got through to a decode engine
-	firstExecution  execution
-	excluded        []*endpoint // failed it before
+	kvHolder       *endpoint // the prefill engine that retains the KV state; nil for none
+	retention      kvRetention
+	firstExecution execution
+	excluded       []*endpoint // failed it before
 }
 
 // awaitsFirstToken tells that a client still waits for its answer to begin.
--- a/control/walk_test.go
+++ b/control/walk_test.go
@@ -45,6 +45,22 @@
 	executedOn                                           control.Endpoint
 	sentAt                                               control.Time
 	retained                                             bool
+
+	arrived        bool         // the attempt in flight has reached its engine; the router can't see it
+	waitsSince     control.Time // an engine retains KV state that no attempt has used since then; 0 for none
+	releaseAskedAt control.Time // of that state; 0 for never
+}
+
+// retainKV takes in that an engine retains KV state from now on, or goes on doing so after the attempt that had
+// reached its engine.
+func (r *walkedRequest) retainKV(now control.Time) {
+	r.waitsSince = now
+	r.releaseAskedAt = 0
+}
+
+// mayBeRetained tells whether an engine may retain KV state that no attempt has reached its engine for.
+func (r *walkedRequest) mayBeRetained() bool {
+	return r.waitsSince != 0 && !(r.attemptInFlight && r.arrived)
 }
 
 // class is the class of a request.
@@ -68,6 +84,9 @@
 		case control.ReleaseKV:
 			if request := w.requests[a.ID]; request != nil && request.retained {
 				w.releases.Enqueue(w.now, fmt.Sprint(a.ID))
+				if request.mayBeRetained() && request.releaseAskedAt == 0 {
+					request.releaseAskedAt = w.now
+				}
 			}
 		case control.CancelAttempt:
 			if request := w.requests[a.ID]; request.attemptInFlight && !request.hasFirstToken && request.attempts-1 == a.Attempt {
@@ -112,10 +131,8 @@
 			w.t.Fatalf("request %d, %v, forwarded again", a.ID, c.Idempotency)
 		}
 	}
-	if w.releases.Withdraw(fmt.Sprint(a.ID)) {
-		request.retained = true
-	}
 	request.attemptInFlight, request.endpoint, request.sentAt = true, a.Endpoint, w.now
+	request.arrived = rapid.IntRange(0, 3).Draw(w.t, "arrives") > 0
 	request.attempts++
 }
 
@@ -124,6 +141,12 @@
 	role := w.settings.RoleByKind[w.listed[request.endpoint].Kind]
 	final := request.hasFirstToken || request.clientGone
 	switch {
+	case !request.arrived && result != control.TimedOut && result != control.Cancelled && result != control.ConnectFailed:
+		result = control.Reset // nobody has answered
+	case request.arrived && result == control.ConnectFailed:
+		result = control.Rejected
+	}
+	switch {
 	case role == control.RolePrefill && result == control.OK:
 		result = control.PrefillDone
 	case role != control.RolePrefill && result == control.PrefillDone:
@@ -137,7 +160,11 @@
 		request.executedAt, request.executedOn = request.sentAt, w.listed[request.endpoint].Endpoint
 	}
 	request.retained = request.retained || ran || result == control.PrefillDone
+	if result == control.PrefillDone {
+		w.releases.Withdraw(fmt.Sprint(request.ID))
+	}
 	request.attemptInFlight = false
+	w.endRetention(request, role, result)
 	if request.hasFirstToken {
 		request.answered = true
 	}
@@ -147,6 +174,35 @@
 	}
 }
 
+// endRetention takes in what the end of an attempt makes of the KV state, as the world outside sees it.
+func (w *walker) endRetention(request *walkedRequest, role control.Role, result control.Result) {
+	isGone := request.releaseAskedAt != 0 && request.releaseAskedAt <= request.sentAt
+	switch {
+	case result == control.OK || request.hasFirstToken:
+		request.waitsSince = 0
+	case result == control.PrefillDone:
+		request.retainKV(w.now)
+	case request.arrived && role == control.RolePrefill && result.MayHaveExecuted():
+		request.retainKV(w.now) // it may have ended well just as its connection broke
+	case request.arrived && request.waitsSince != 0 && !isGone:
+		request.retainKV(w.now) // another attempt can use it
+	}
+}
+
+// checkRetention checks that the release of each KV state was asked for within the retention limit.
+func (w *walker) checkRetention() {
+	limit := w.settings.KVRetentionLimit
+	if !w.settings.ReleaseSparesAttempts || limit <= 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(w.requests)) {
+		request := w.requests[id]
+		if request.mayBeRetained() && request.releaseAskedAt == 0 && w.now.Sub(request.waitsSince) > limit {
+			w.t.Fatalf("request %d: KV state retained for %v, and no release asked for: %+v", id, w.now.Sub(request.waitsSince), request)
+		}
+	}
+}
+
 func (w *walker) updateEndpoints(change membership.Change) {
 	if change.IsEmpty() {
 		return
@@ -188,6 +244,7 @@
 		}
 	}
 	w.handle(control.Timer{})
+	w.checkRetention()
 	w.calls = append(w.calls, w.releases.Poll(w.now)...)
 }
 
@@ -204,58 +261,123 @@
 	return w.requests[rapid.SampledFrom(some).Draw(w.t, "request")]
 }
 
+// walkedEngines is how many engines are listed at first, a third of each role.
+const walkedEngines = 8
+
+// newWalker returns a walker with random settings, whose router knows all engines.
+func newWalker(t *rapid.T) *walker {
+	w := &walker{t: t, now: control.Time(time.Hour.Microseconds()), requests: map[control.RequestID]*walkedRequest{}, known: map[control.EndpointID]control.EndpointState{},
+		listed: map[control.EndpointID]membership.Endpoint{}}
+	w.settings = walkedSettings(t)
+	w.router, w.releases = control.New(w.settings, w.now), kvrelease.New(w.settings.KVRetentionLimit)
+	for id := control.EndpointID(1); id <= walkedEngines; id++ {
+		w.listed[id] = w.endpoint(id)
+	}
+	w.apply(membership.Update{Revision: 1, Complete: true, Endpoints: w.listedEndpoints()})
+	w.revision = 1
+	return w
+}
+
+// walkedSettings draws settings with a class of each kind of idempotency and each scope.
+func walkedSettings(t *rapid.T) control.Settings {
+	const ms = time.Millisecond
+	settings := control.Settings{Seed: uint64(rapid.IntRange(1, 1000).Draw(t, "seed")), Routers: 1, RoleByKind: []control.Role{control.RolePrefill, control.RoleDecode, control.RoleColocated}, MemoryTokensByKind: make([]float64, 3),
+		CanCancel: true, CanHealthCheck: rapid.Bool().Draw(t, "probes"), MaxAttempts: rapid.IntRange(1, 6).Draw(t, "attempts"), ReleaseSparesAttempts: rapid.Bool().Draw(t, "spares"), KVRetentionLimit: time.Duration(rapid.SampledFrom([]int{0, 200, 500}).Draw(t, "pin")) * ms, ConnectTimeout: 250 * ms,
+		AnswerGrace: 8 * ms, SlowStartShare: 0.35, SlowStartDuration: 3 * time.Second, OverloadMultiple: 2.5, OverloadDuration: time.Second, MaxRetryAfter: time.Second}
+	for _, effect := range []control.Idempotency{control.Idempotent, control.NotIdempotent, control.IdempotentWithKey, control.IdempotentWithKey, control.IdempotentWithKey} {
+		c := control.Class{TTFTObjective: 800 * ms, Deadline: 2 * time.Second, PriorityWeight: 1, Idempotency: effect, DedupWindow: 400 * ms}
+		c.DedupScope = control.DedupScope(max(len(settings.Classes)-2, 0))
+		settings.Classes = append(settings.Classes, c)
+	}
+	return settings
+}
+
+// endpoint is an engine as it is listed, ready where it is not.
+func (w *walker) endpoint(id control.EndpointID) membership.Endpoint {
+	state, startedAt := control.Ready, control.Time(0)
+	if listed, ok := w.listed[id]; ok {
+		state, startedAt = listed.State, listed.StartedAt
+	}
+	return membership.Endpoint{Addr: netip.MustParseAddrPort("127.0.0.1:80"), Endpoint: control.Endpoint{ID: id, Kind: int(id) % 3, Cell: uint16(id % 2), Zone: uint16(id % 4 / 2), Weight: 1, StartedAt: startedAt, State: state}}
+}
+
+// listedEndpoints are the engines that are listed and not gone.
+func (w *walker) listedEndpoints() (l []membership.Endpoint) {
+	for _, id := range slices.Sorted(maps.Keys(w.listed)) {
+		if w.listed[id].State != control.Gone {
+			l = append(l, w.listed[id])
+		}
+	}
+	return l
+}
+
+// apply has the router's list updated.
+func (w *walker) apply(update membership.Update) {
+	change, err := w.table.Apply(w.now, update)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.updateEndpoints(change)
+}
+
+// ask adds a request whose client waits for so long.
+func (w *walker) ask(class int, patience time.Duration) {
+	w.lastID++
+	request := &walkedRequest{Request: control.Request{ID: w.lastID, Class: class, SessionID: uint64(rapid.IntRange(0, 5).Draw(w.t, "session")), PrefixHash: uint64(rapid.IntRange(0, 3).Draw(w.t, "prefix")),
+		PromptTokens: 1000, MaxTokens: 100, Deadline: w.now.Add(patience)}}
+	w.requests[request.ID] = request
+	w.handle(request.Request)
+}
+
+// walkedResults are the results of attempts that are drawn.
+var walkedResults = []control.Result{control.OK, control.PrefillDone, control.Failed, control.Rejected, control.TimedOut, control.ConnectFailed, control.Reset}
+
+// TestNoAttemptKeepsKVStatePastTheLimit plays requests whose attempts end at random times in random ways, of which
+// many never reach an engine: whatever the router can't see, it asks for the release of each KV state that
+// nobody uses within the retention limit.
+func TestNoAttemptKeepsKVStatePastTheLimit(t *testing.T) {
+	const ms = time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWalker(t)
+		for range rapid.IntRange(1, 4).Draw(t, "requests") {
+			w.ask(rapid.IntRange(0, 4).Draw(t, "class"), 3*time.Second)
+		}
+		for range 60 {
+			w.step(time.Duration(rapid.IntRange(1, 50).Draw(t, "ms")) * ms)
+			for _, id := range slices.Sorted(maps.Keys(w.requests)) {
+				request := w.requests[id]
+				isPrefill := request.attemptInFlight && w.settings.RoleByKind[w.listed[request.endpoint].Kind] == control.RolePrefill
+				isDue := rapid.IntRange(0, 9).Draw(t, "due") == 0 || isPrefill && rapid.Bool().Draw(t, "prefilled")
+				if !request.attemptInFlight || !isDue {
+					continue
+				}
+				result := control.PrefillDone
+				if !isPrefill || rapid.IntRange(0, 3).Draw(t, "fails") == 0 {
+					result = rapid.SampledFrom(walkedResults).Draw(t, "result")
+				}
+				w.endAttempt(request, result)
+			}
+		}
+	})
+}
+
 // TestRandomEventsKeepTheRules plays random events; rapid shrinks what breaks a rule to a short script.
 // In the end every request has its one answer and every table is empty.
 func TestRandomEventsKeepTheRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const ms = time.Millisecond
-		w := &walker{t: t, now: control.Time(time.Hour.Microseconds()), requests: map[control.RequestID]*walkedRequest{}, known: map[control.EndpointID]control.EndpointState{},
-			listed: map[control.EndpointID]membership.Endpoint{}}
-		w.settings = control.Settings{Seed: uint64(rapid.IntRange(1, 1000).Draw(t, "seed")), Routers: 1, RoleByKind: []control.Role{control.RolePrefill, control.RoleDecode, control.RoleColocated}, MemoryTokensByKind: make([]float64, 3),
-			CanCancel: true, CanHealthCheck: rapid.Bool().Draw(t, "probes"), MaxAttempts: rapid.IntRange(1, 6).Draw(t, "attempts"), KVRetentionLimit: time.Duration(rapid.SampledFrom([]int{0, 200, 500}).Draw(t, "pin")) * ms, ConnectTimeout: 250 * ms,
-			AnswerGrace: 8 * ms, SlowStartShare: 0.35, SlowStartDuration: 3 * time.Second, OverloadMultiple: 2.5, OverloadDuration: time.Second, MaxRetryAfter: time.Second}
-		for _, effect := range []control.Idempotency{control.Idempotent, control.NotIdempotent, control.IdempotentWithKey, control.IdempotentWithKey, control.IdempotentWithKey} {
-			c := control.Class{TTFTObjective: 800 * ms, Deadline: 2 * time.Second, PriorityWeight: 1, Idempotency: effect, DedupWindow: 400 * ms}
-			c.DedupScope = control.DedupScope(max(len(w.settings.Classes)-2, 0))
-			w.settings.Classes = append(w.settings.Classes, c)
-		}
-		w.router, w.releases = control.New(w.settings, w.now), kvrelease.New(w.settings.KVRetentionLimit)
-		results := []control.Result{control.OK, control.PrefillDone, control.Failed, control.Rejected, control.TimedOut, control.ConnectFailed, control.Reset}
+		w := newWalker(t)
 		server := func(t *rapid.T) membership.Endpoint {
-			id := control.EndpointID(rapid.IntRange(1, 8).Draw(t, "server"))
-			return membership.Endpoint{Addr: netip.MustParseAddrPort("127.0.0.1:80"), Endpoint: control.Endpoint{ID: id, Kind: int(id) % 3, Cell: uint16(id % 2), Zone: uint16(id % 4 / 2), Weight: 1, StartedAt: w.listed[id].StartedAt, State: w.listed[id].State}}
-		}
-		all := func() (l []membership.Endpoint) {
-			for _, id := range slices.Sorted(maps.Keys(w.listed)) {
-				if w.listed[id].State != control.Gone {
-					l = append(l, w.listed[id])
-				}
-			}
-			return l
-		}
-		for id := control.EndpointID(1); id <= 8; id++ {
-			w.listed[id] = membership.Endpoint{Addr: netip.MustParseAddrPort("127.0.0.1:80"), Endpoint: control.Endpoint{ID: id, State: control.Ready, Kind: int(id) % 3, Cell: uint16(id % 2), Zone: uint16(id % 4 / 2), Weight: 1}}
-		}
-		apply := func(l membership.Update) {
-			change, err := w.table.Apply(w.now, l)
-			if err != nil {
-				t.Fatal(err)
-			}
-			w.updateEndpoints(change)
+			return w.endpoint(control.EndpointID(rapid.IntRange(1, walkedEngines).Draw(t, "server")))
 		}
-		apply(membership.Update{Revision: 1, Complete: true, Endpoints: all()})
-		w.revision = 1
+		all, apply := w.listedEndpoints, w.apply
 		t.Repeat(map[string]func(*rapid.T){
 			"request": func(t *rapid.T) {
-				w.lastID++
-				request := &walkedRequest{Request: control.Request{ID: w.lastID, Class: rapid.IntRange(0, 4).Draw(t, "class"), SessionID: uint64(rapid.IntRange(0, 5).Draw(t, "session")), PrefixHash: uint64(rapid.IntRange(0, 3).Draw(t, "prefix")),
-					PromptTokens: 1000, MaxTokens: 100, Deadline: w.now.Add(time.Duration(rapid.IntRange(20, 3000).Draw(t, "patience")) * ms)}}
-				w.requests[request.ID] = request
-				w.handle(request.Request)
+				w.ask(rapid.IntRange(0, 4).Draw(t, "class"), time.Duration(rapid.IntRange(20, 3000).Draw(t, "patience"))*ms)
 			},
 			"outcome": func(t *rapid.T) {
 				request := w.pick(func(request *walkedRequest) bool { return request.attemptInFlight })
-				result := rapid.SampledFrom(results).Draw(t, "result")
+				result := rapid.SampledFrom(walkedResults).Draw(t, "result")
 				if request.hasFirstToken && result != control.OK {
 					result = control.Reset
 				}
@@ -263,7 +385,7 @@
 			},
 			"starts": func(t *rapid.T) {
 				request := w.pick(func(request *walkedRequest) bool {
-					return request.attemptInFlight && !request.hasFirstToken && !request.clientGone && w.settings.RoleByKind[w.listed[request.endpoint].Kind] != control.RolePrefill
+					return request.attemptInFlight && request.arrived && !request.hasFirstToken && !request.clientGone && w.settings.RoleByKind[w.listed[request.endpoint].Kind] != control.RolePrefill
 				})
 				request.hasFirstToken = true
 				w.handle(control.AnswerStarted{ID: request.ID, Endpoint: request.endpoint, Attempt: request.attempts - 1, Elapsed: w.now.Sub(request.sentAt)})
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -229,7 +229,7 @@
 func (a *attempt) finishByStatus() {
 	outcome := classifyResponse(a.role, a.status, a.rejected)
 	if outcome.result == control.PrefillDone {
-		a.exchange.kv.mayRetain = true
+		a.exchange.retainsKV()
 		a.cachedTokens = parseCachedTokens(a.buffered)
 	}
 	a.kvMissing = outcome.kvMissing
@@ -267,6 +267,9 @@
 	s.loop.StopTimer(&a.streamIdleTimeout)
 	gaveUp := a.closeConn()
 	a.discardBuffered()
+	if !hadStarted && showsSilence(result) {
+		a.recordSilence()
+	}
 	x.attemptEnded(a, result, hadStarted)
 	if a.endpoint != nil {
 		a.endpoint.attemptEnded(a, result)
@@ -295,6 +298,11 @@
 	}
 }
 
+// showsSilence tells whether an attempt that ended so had no sign of its engine.
+func showsSilence(result control.Result) bool {
+	return result == control.TimedOut || result == control.ConnectFailed || result == control.Reset
+}
+
 // written tells whether the request's last byte has left this process.
 func (a *attempt) written() bool {
 	return a.brokenWritten || a.conn != nil && a.conn.Written()
@@ -311,6 +319,14 @@
 	return gaveUp
 }
 
+// recordSilence takes note that the engine has shown no sign of the attempt, for the choice of
+// engines that are called to release KV state.
+func (a *attempt) recordSilence() {
+	s := a.exchange.server
+	sentAt := clockStart.Add(a.startedAt)
+	s.kvReleases.scheduler.RecordSilence(s.now(), sentAt, a.endpointID)
+}
+
 // traceEntry is the attempt in the trace of its request: the milliseconds from the request's
 // start to the attempt's start and end, the engine, and the result.
 func (a *attempt) traceEntry(result control.Result) string {
--- a/internal/platform/endpointcall.go
+++ b/internal/platform/endpointcall.go
@@ -20,10 +20,14 @@
 	head := http1.AppendRequest(make([]byte, 0, callHeadBytes), method, path)
 	head = http1.AppendField(head, "Host", engineHost)
 	head = append(head, crlf...)
+	startedAt := e.server.now()
 	finish := func(call driver.CallResult) {
 		result := classifyCall(call)
+		scheduler := e.server.kvReleases.scheduler
 		if result == control.OK {
-			e.server.kvReleases.scheduler.RecordResponse(e.server.now(), e.id)
+			scheduler.RecordResponse(e.server.now(), e.id)
+		} else if showsSilence(result) {
+			scheduler.RecordSilence(e.server.now(), startedAt, e.id)
 		}
 		done(result, call.Status)
 	}
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -30,8 +30,8 @@
 
 // kvFacts is what is known of the KV state that a request's attempts left at engines.
 type kvFacts struct {
-	mayRetain         bool // an engine may retain KV state
-	prefillMayEndLate bool // a prefill that was given up may yet end, and retain its KV state then
+	mayRetain       bool // an engine may retain KV state
+	mayOutliveStart bool // some may be left after the answer's start, which releases all that is there by then
 }
 
 // How a request ended, in the lines of the trace of requests.
@@ -134,10 +134,6 @@
 		a.finish(control.NotSent, false)
 		return
 	}
-	if s.kvReleases.scheduler.Withdraw(x.meta.callID) { // or the KV state of this attempt would be released with the earlier one
-		x.kv.mayRetain = true
-		x.kv.prefillMayEndLate = true
-	}
 	a.start(action)
 }
 
@@ -164,7 +160,8 @@
 	x.lastResult = result
 	if mayHaveExecuted(result) && !hadStarted {
 		x.kv.mayRetain = true
-		x.kv.prefillMayEndLate = x.kv.prefillMayEndLate || a.role != control.RoleDecode
+		// A prefill that was given up may yet end.
+		x.kv.mayOutliveStart = x.kv.mayOutliveStart || a.role != control.RoleDecode
 	}
 }
 
@@ -214,9 +211,7 @@
 		x.traceRequest(endedUnusable)
 		client.respond(400, "", "the engine can't use this request\n")
 	}
-	// A prefill that was given up may yet end and retain its KV state, after the stream's start
-	// has released all else.
-	if x.kv.prefillMayEndLate {
+	if x.kv.mayOutliveStart {
 		x.server.enqueueKVRelease(x.meta.callID, control.ReleasedAtFinish)
 	}
 }
@@ -280,9 +275,25 @@
 	x.body = nil
 }
 
-// ReleaseKV has engines release whatever KV state they may retain for the request.
+// ReleaseKV has engines release whatever KV state they may retain for the request and no attempt
+// waits for.
 func (x *exchange) ReleaseKV(action control.ReleaseKV) {
-	if x.kv.mayRetain {
-		x.server.enqueueKVRelease(x.meta.callID, action.Reason)
+	if !x.kv.mayRetain {
+		return
+	}
+	isBetweenAttempts := x.attempt == nil && x.client != nil
+	if isBetweenAttempts { // a further prefill withdraws this release, and an engine may be cut off now
+		x.kv.mayOutliveStart = true
 	}
+	if x.attempt != nil && x.attempt.state == attemptWaiting {
+		x.attempt.recordSilence()
+	}
+	x.server.enqueueKVRelease(x.meta.callID, action.Reason)
+}
+
+// retainsKV takes in that an engine retains KV state for the request from now on. A release that
+// is pending is withdrawn, or it would release this state with an earlier one.
+func (x *exchange) retainsKV() {
+	x.kv.mayRetain = true
+	x.server.kvReleases.scheduler.Withdraw(x.meta.callID)
 }
