--- a/control/retry.go
+++ b/control/retry.go
@@ -69,7 +69,8 @@
 func (r *Router) handleOutcome(event Outcome) {
 	request, target := r.attemptInFlight(event.ID, event.Endpoint)
 	if request == nil {
-		r.do(ReleaseKV{ID: event.ID, Reason: ReleasedForLateOutcome}) // whatever it left behind, nobody waits for it
+		// Whatever the attempt left behind, nobody waits for it.
+		r.do(ReleaseKV{ID: event.ID, Reason: ReleasedForLateOutcome})
 		return
 	}
 	target.removeAttempt(request)
