A fleet of processes under random silence: KV state released in time

This plays two routers and nine engines for 4 s at 40 requests a second while up to five of six decode engines are stopped or cut off, come back and do so again; it judges by what the engines report.

Engines' reports are put in the order of their times: they come on pipes of their own.

--- a/internal/platform/fleet_test.go
+++ b/internal/platform/fleet_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -145,6 +146,14 @@
 	f.waitFor("the process is stopped", func() bool { return isStopped(f.T, e.command.Process.Pid) })
 }
 
+// resume has a stopped process go on.
+func (e *engineProcess) resume(f *fleet) {
+	f.Helper()
+	if err := e.command.Process.Signal(syscall.SIGCONT); err != nil {
+		f.Fatal(err)
+	}
+}
+
 // isStopped tells whether all threads of a process are stopped (proc(5)).
 func isStopped(t *testing.T, pid int) bool {
 	t.Helper()
@@ -228,10 +237,10 @@
 	}
 }
 
-// cut has the proxy pass nothing on any more.
-func (p *silentProxy) cut() {
+// setCut has the proxy pass nothing on, or pass on again what comes from now on.
+func (p *silentProxy) setCut(isCut bool) {
 	p.mu.Lock()
-	p.isCut = true
+	p.isCut = isCut
 	p.mu.Unlock()
 }
 
@@ -246,12 +255,12 @@
 	p.clients = nil
 }
 
-// fleet is a router and engines in processes of their own, and a discovery of the test's.
+// fleet is routers and engines in processes of their own, and a discovery of the test's.
 type fleet struct {
 	*testing.T
 	closers  closers
 	engines  []*engineProcess
-	router   *routerProcess
+	routers  []*routerProcess
 	mu       sync.Mutex
 	events   []engineEvent
 	requests int
@@ -263,10 +272,10 @@
 	address string
 }
 
-// signal sends the router a signal.
+// signal sends the first router a signal.
 func (f *fleet) signal(signal syscall.Signal) {
 	f.Helper()
-	if err := f.router.command.Process.Signal(signal); err != nil {
+	if err := f.routers[0].command.Process.Signal(signal); err != nil {
 		f.Fatal(err)
 	}
 }
@@ -277,7 +286,7 @@
 	proxied  bool
 }
 
-// startFleet starts engines, and a router that knows them.
+// startFleet starts engines, and one router that knows them.
 func startFleet(t *testing.T, specs ...engineSpec) *fleet {
 	t.Helper()
 	f := &fleet{T: t}
@@ -419,7 +428,7 @@
 		}
 		_ = json.Unmarshal(text, &line)
 	}
-	f.router = &routerProcess{command: command, address: line.Listen}
+	f.routers = append(f.routers, &routerProcess{command: command, address: line.Listen})
 	go f.copyLog(log)
 }
 
@@ -436,7 +445,7 @@
 	}
 }
 
-// ask sends a request of a class on a new connection and returns its id and the answer, which
+// ask sends a request of a class to the routers in turn, on a new connection, and returns its id and the answer, which
 // comes when the client has had it.
 func (f *fleet) ask(class string, edits ...string) (requestID string, answered <-chan clientAnswer) {
 	f.Helper()
@@ -450,7 +459,8 @@
 	f.requests++
 	requestID = fmt.Sprintf("c%d", f.requests)
 	request := (&harness{T: f.T, requestCount: f.requests - 1}).chat(class, edits...)
-	conn, err := net.Dial("tcp", f.router.address)
+	router := f.routers[f.requests%len(f.routers)]
+	conn, err := net.Dial("tcp", router.address)
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -473,6 +483,7 @@
 			events = append(events, event)
 		}
 	}
+	slices.SortStableFunc(events, func(a, b engineEvent) int { return a.At.Compare(b.At) })
 	return events
 }
 
--- a/internal/platform/retention_test.go
+++ b/internal/platform/retention_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"net"
+	"os"
 	"slices"
 	"strconv"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -73,7 +76,7 @@
 	f.Helper()
 	for _, e := range engines {
 		if e.proxy != nil {
-			e.proxy.cut()
+			e.proxy.setCut(true)
 		} else {
 			e.stop(f)
 		}
@@ -160,3 +163,80 @@
 		})
 	}
 }
+
+// randomSilence makes engines fall silent and come back at random, half of them by a cut connection, most of them
+// at once now and then, until told to stop.
+func (f *fleet) randomSilence(rng *rand.Rand, engines []*engineProcess, stop <-chan struct{}) {
+	for {
+		wait := time.Duration(50+rng.IntN(150)) * time.Millisecond
+		select {
+		case <-stop:
+			return
+		case <-time.After(wait):
+		}
+		rng.Shuffle(len(engines), func(i, j int) { engines[i], engines[j] = engines[j], engines[i] })
+		silent := engines[:1+rng.IntN(len(engines)-1)]
+		f.silence(silent...)
+		time.Sleep(time.Duration(100+rng.IntN(1400)) * time.Millisecond)
+		for _, e := range silent {
+			if e.proxy == nil {
+				e.resume(f)
+				continue
+			}
+			e.proxy.reset() // a link that comes back has forgotten its connections
+			e.proxy.setCut(false)
+		}
+	}
+}
+
+// TestKVStateReleasedUnderRandomSilence plays a fleet of two routers and nine engines, of which up to all but one of the
+// decode engines fall silent again and again under load: no KV state is retained past its limit, and
+// every client has its answer in time. MARTENLOCK_TEST_SECONDS plays it for longer.
+func TestKVStateReleasedUnderRandomSilence(t *testing.T) {
+	const requestInterval = 25 * time.Millisecond
+	seconds, err := strconv.Atoi(cmp.Or(os.Getenv("MARTENLOCK_TEST_SECONDS"), "4"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	prefill, decode := engineSpec{behavior: prefillBehavior}, engineSpec{behavior: decodeBehavior}
+	proxied := engineSpec{behavior: decodeBehavior, proxied: true}
+	f := startFleet(t, prefill, prefill, prefill, decode, decode, decode, proxied, proxied, proxied)
+	f.startRouter()
+	stop := make(chan struct{})
+	var trouble sync.WaitGroup
+	trouble.Go(func() {
+		f.randomSilence(rand.New(rand.NewPCG(38, uint64(seconds))), slices.Clone(f.engines[3:]), stop)
+	})
+	type asked struct {
+		id       string
+		answered <-chan clientAnswer
+	}
+	var all []asked
+	for range time.Duration(seconds) * time.Second / requestInterval {
+		class := []string{"ask", "ask", "ask", "note"}[len(all)%4]
+		id, answered := f.ask(class, "7f3a9c21e0b4d655", strconv.Itoa(1000+f.requests))
+		all = append(all, asked{id: id, answered: answered})
+		time.Sleep(requestInterval)
+	}
+	served := 0
+	for _, request := range all {
+		select {
+		case answer := <-request.answered:
+			if answer.code == 200 {
+				served++
+			}
+		case <-time.After(6 * time.Second): // the clients wait for 4 s
+			t.Errorf("%s: no answer", request.id)
+		}
+	}
+	close(stop)
+	trouble.Wait()
+	late := 0
+	for _, request := range all {
+		if age := f.retainedFor(request.id); age > retentionLimit {
+			late++
+			t.Errorf("%s: KV state retained for %v, limit %v: %v", request.id, age, retentionLimit, f.eventsOf(request.id))
+		}
+	}
+	t.Logf("%d requests, %d served, %d retained past the limit", len(all), served, late)
+}
