--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -118,7 +118,10 @@
 	if ln.state == listenerClosed {
 		return
 	}
-	for ln.acceptOne() {
+	for range backlog { // more cannot wait; the bound keeps a call that fails again and again from holding up the loop
+		if !ln.acceptOne() {
+			break
+		}
 	}
 	ln.state = listenerClosed
 	ln.loop.StopTimer(&ln.retryTimer)
@@ -160,7 +163,7 @@
 	case noResources(err):
 		ln.starve()
 		return false
-	case errors.Is(err, unix.ECONNABORTED), errors.Is(err, unix.EINTR):
+	case isPassing(err):
 		return true
 	case err != nil:
 		return false
@@ -174,6 +177,17 @@
 		errors.Is(err, unix.ENOBUFS) || errors.Is(err, unix.ENOMEM)
 }
 
+// isPassing tells whether accept failed for a moment or for one connection only: EINTR, and errors of the
+// network that were pending on a connection, which Linux reports here (accept(2)).
+func isPassing(err error) bool {
+	switch err {
+	case unix.EINTR, unix.ECONNABORTED, unix.ENETDOWN, unix.EPROTO, unix.ENOPROTOOPT, unix.EHOSTDOWN, unix.ENONET,
+		unix.EHOSTUNREACH, unix.EOPNOTSUPP, unix.ENETUNREACH, unix.ETIMEDOUT, unix.EPERM:
+		return true
+	}
+	return false
+}
+
 // starve pauses a listener that found no descriptor. The connection stays in the backlog, and a
 // level-triggered loop would spin on it.
 func (ln *Listener) starve() {
@@ -191,11 +205,14 @@
 // admit makes an accepted descriptor a connection, or closes it where it gets no handler.
 func (ln *Listener) admit(fd int) {
 	c := &Conn{loop: ln.loop, fd: fd, listener: ln}
+	if c.register(unix.EPOLLIN|unix.EPOLLRDHUP) != nil {
+		unix.Close(fd)
+		return
+	}
 	ln.open++
 	c.handler = ln.accept(c)
-	if c.handler == nil || c.register(unix.EPOLLIN|unix.EPOLLRDHUP) != nil {
-		ln.open--
-		unix.Close(fd)
+	if c.handler == nil {
+		c.release()
 	}
 }
 
--- a/internal/eventloop/mailbox.go
+++ b/internal/eventloop/mailbox.go
@@ -1,6 +1,7 @@
 package eventloop
 
 import (
+	"errors"
 	"sync"
 
 	"golang.org/x/sys/unix"
@@ -30,8 +31,20 @@
 	if m.signalled || m.eventfd == noDescriptor {
 		return
 	}
-	m.signalled = true
-	_, _ = unix.Write(m.eventfd, []byte{1, 0, 0, 0, 0, 0, 0, 0}) // can only fail where it is readable already
+	m.signalled = m.signal()
+}
+
+// signal makes the eventfd readable. It returns false where that failed: the next put tries again.
+func (m *mailbox) signal() bool {
+	for {
+		_, err := unix.Write(m.eventfd, []byte{1, 0, 0, 0, 0, 0, 0, 0})
+		switch {
+		case err == nil, errors.Is(err, unix.EAGAIN): // EAGAIN: it is readable already
+			return true
+		case !errors.Is(err, unix.EINTR):
+			return false
+		}
+	}
 }
 
 // takeAll returns the functions that have come and makes the eventfd unreadable.
--- a/internal/eventloop/poller.go
+++ b/internal/eventloop/poller.go
@@ -32,7 +32,7 @@
 	return unix.EpollWait(p.fd, events, timeout)
 }
 
-// poll returns the events that there are now.
-func (p poller) poll(events []unix.EpollEvent) int { return pollEvents(p.fd, events) }
+// poll returns the events that there are now, and false where the call failed: then events is as it was.
+func (p poller) poll(events []unix.EpollEvent) (n int, ok bool) { return pollEvents(p.fd, events) }
 
 func (p poller) close() error { return unix.Close(p.fd) }
--- a/internal/eventloop/run.go
+++ b/internal/eventloop/run.go
@@ -44,7 +44,7 @@
 func (l *Loop) wait(events []unix.EpollEvent, previous int) (int, error) {
 	n := 0
 	if previous > 1 { // busy: more has come by now, most likely
-		n = l.poller.poll(events)
+		n, _ = l.poller.poll(events)
 	}
 	if n == 0 {
 		var err error
@@ -58,7 +58,9 @@
 	if n < len(events) && l.timersDue() {
 		// This thread may have been held up after epoll_wait returned. What has come by now came
 		// before the timers that are due: a late loop must not take its own lateness for a peer's.
-		n = l.poller.poll(events)
+		if current, ok := l.poller.poll(events); ok {
+			n = current
+		}
 	}
 	return max(n, 0), nil
 }
--- a/internal/eventloop/syscalls.go
+++ b/internal/eventloop/syscalls.go
@@ -44,11 +44,12 @@
 	return nil
 }
 
-// pollEvents is an epoll_wait that does not wait. It returns how many events it has set.
-func pollEvents(epoll int, events []unix.EpollEvent) int {
-	n, _, errno := unix.RawSyscall6(unix.SYS_EPOLL_PWAIT, uintptr(epoll), uintptr(unsafe.Pointer(unsafe.SliceData(events))), uintptr(len(events)), 0, 0, 0)
+// pollEvents is an epoll_wait that does not wait. It returns how many events it has set, and false where the
+// call failed and has set none.
+func pollEvents(epoll int, events []unix.EpollEvent) (n int, ok bool) {
+	count, _, errno := unix.RawSyscall6(unix.SYS_EPOLL_PWAIT, uintptr(epoll), uintptr(unsafe.Pointer(unsafe.SliceData(events))), uintptr(len(events)), 0, 0, 0)
 	if errno != 0 {
-		return 0
+		return 0, false
 	}
-	return int(n)
+	return int(count), true
 }
