A further prefill waits until the release of what the earlier one left is confirmed

Change: only prefills can have left state (recordOutcome). What an earlier one may have left is released before the retry, and the platform holds a Forward to a prefill engine until the release is confirmed, as not sent where that takes the client's time or the engine drains meanwhile. A decode retry withdraws a pending release, as before.

--- a/control/api.go
+++ b/control/api.go
@@ -348,7 +348,8 @@
 }
 
 // ReleaseKV releases every KV state that engines may retain for a request and that none of its attempts
-// waits for.
+// waits for. A Forward to a prefill engine that comes after it is sent when the release is done: it would take the
+// new state too.
 type ReleaseKV struct {
 	ID     RequestID
 	Reason ReleaseReason
@@ -364,9 +365,10 @@
 	ReleasedForLateOutcome               // an attempt ended after its request
 	ReleasedAsKVMissing                  // a decode engine could not fetch the KV state
 	ReleasedWithoutProof                 // nothing proves that the attempt for it has reached its engine
+	ReleasedBeforeRetry                  // an earlier prefill may have left it, and the prompt is computed again
 )
 
-var releaseReasonNames = [...]string{"unspecified", "request_finished", "late_outcome", "kv_missing", "arrival_not_proven"}
+var releaseReasonNames = [...]string{"unspecified", "request_finished", "late_outcome", "kv_missing", "arrival_not_proven", "before_retry"}
 
 // String names a reason.
 func (r ReleaseReason) String() string {
--- a/control/kvrelease/kvrelease.go
+++ b/control/kvrelease/kvrelease.go
@@ -94,6 +94,9 @@
 	s.queue = append(s.queue, release)
 }
 
+// IsPending tells whether a release has not been confirmed yet.
+func (s *Scheduler) IsPending(key string) bool { return s.pending[key] != nil }
+
 // Withdraw cancels a release whose KV cache may be needed again. It returns whether the release
 // was pending. Calls in flight are not stopped.
 func (s *Scheduler) Withdraw(key string) bool {
--- a/control/retention.go
+++ b/control/retention.go
@@ -29,13 +29,14 @@
 	return r == OK || r == PrefillDone || r == Failed || r == Rejected
 }
 
-// recordOutcome takes in the end of an attempt.
-func (k *kvRetention) recordOutcome(result Result, now Time) {
+// recordOutcome takes in the end of an attempt at an engine of a role.
+func (k *kvRetention) recordOutcome(result Result, role Role, now Time) {
 	k.released = false
 	if !k.mayRetain || result.provesArrival() {
 		k.since = now
 	}
-	k.mayRetain = k.mayRetain || result == PrefillDone || result.MayHaveExecuted()
+	prefillMayHaveEnded := role == RolePrefill && (result == PrefillDone || result.MayHaveExecuted())
+	k.mayRetain = k.mayRetain || prefillMayHaveEnded
 }
 
 // releaseDeadline is when a release of a request's KV state has to be asked for, so that it reaches an engine
@@ -90,9 +91,20 @@
 	}
 	request.kvHolder = nil
 	r.do(ReleaseKV{ID: request.ID, Reason: ReleasedWithoutProof})
+	request.retention = kvRetention{}
 	return true
 }
 
+// releaseBeforePrefill releases what an earlier prefill may have left before the prompt is computed again: a
+// release that comes while that goes on would take the new state too.
+func (r *Router) releaseBeforePrefill(request *request) {
+	if !r.settings.ReleaseSparesAttempts || !request.retention.mayRetain {
+		return
+	}
+	r.do(ReleaseKV{ID: request.ID, Reason: ReleasedBeforeRetry})
+	request.retention = kvRetention{}
+}
+
 // shareOf is a share of a span.
 func shareOf(span time.Duration, share float64) time.Duration {
 	return time.Duration(share * float64(span))
--- a/control/retention_test.go
+++ b/control/retention_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -80,21 +81,22 @@
 	}
 }
 
-// TestKVStateOfEarlierPrefillReleasedUnderSilentRetry: a prefill that was lost with its connection may have left
-// KV state, and its retry may reach nobody.
-func TestKVStateOfEarlierPrefillReleasedUnderSilentRetry(t *testing.T) {
-	s := startRouter(t, socketSettings(), 0, 0, 1)
-	prefill := s.onlyForward(s.handle(0, s.request(1, 1)))
-	s.onlyForward(s.handle(10*ms, Outcome{ID: 1, Endpoint: prefill.Endpoint, Result: Reset, Elapsed: 10 * ms}))
-	if releases := actionsOf[ReleaseKV](s.ticks(400 * ms)); len(releases) != 1 {
-		t.Errorf("released %d times within 400 ms", len(releases))
-	}
-	// Nothing is retained where the first attempt never got through.
-	s = startRouter(t, socketSettings(), 0, 0, 1)
-	prefill = s.onlyForward(s.handle(0, s.request(1, 1)))
-	s.onlyForward(s.handle(10*ms, Outcome{ID: 1, Endpoint: prefill.Endpoint, Result: ConnectFailed}))
-	if releases := actionsOf[ReleaseKV](s.ticks(400 * ms)); len(releases) != 0 {
-		t.Errorf("released though nothing can be retained: %v", releases)
+// TestKVStateOfEarlierPrefillReleasedBeforeRetry: a prefill that was lost with its connection may have left KV
+// state, and its retry may reach nobody. The release comes before the retry, since it would take that one's state.
+func TestKVStateOfEarlierPrefillReleasedBeforeRetry(t *testing.T) {
+	for result, mayRetain := range map[Result]bool{Reset: true, Cancelled: true, Failed: true, ConnectFailed: false, NotSent: false, Rejected: false} {
+		s := startRouter(t, socketSettings(), 0, 0, 1)
+		prefill := s.onlyForward(s.handle(0, s.request(1, 1)))
+		actions := s.handle(10*ms, Outcome{ID: 1, Endpoint: prefill.Endpoint, Result: result, Elapsed: 10 * ms})
+		s.onlyForward(actions)
+		isForward := func(a Action) bool { _, ok := a.(Forward); return ok }
+		before := actions[:slices.IndexFunc(actions, isForward)]
+		if len(actionsOf[ReleaseKV](actions)) > 1 || (len(actionsOf[ReleaseKV](before)) == 1) != mayRetain {
+			t.Errorf("%v: %v", result, actions)
+		}
+		if releases := actionsOf[ReleaseKV](s.ticks(600 * ms)); len(releases) != 0 {
+			t.Errorf("%v: released under the retry: %v", result, releases)
+		}
 	}
 }
 
--- a/control/retry.go
+++ b/control/retry.go
@@ -76,7 +76,7 @@
 	target.removeAttempt(request)
 	r.capacity.add(target, request, -1)
 	wasReleased := request.retention.released
-	request.retention.recordOutcome(event.Result, r.now)
+	request.retention.recordOutcome(event.Result, target.role, r.now)
 	r.recordReport(target, event.Report)
 	r.recordOutcome(request, target, event)
 	request.serviceTime += event.Elapsed
@@ -105,6 +105,7 @@
 	if event.Result == Rejected && event.KVMissing { // gone, or out of this engine's reach: prefill anew
 		request.kvHolder = nil
 		r.do(ReleaseKV{ID: request.ID, Reason: ReleasedAsKVMissing})
+		request.retention = kvRetention{}
 	}
 	if event.Result != PrefillDone {
 		request.excluded = append(request.excluded, target)
@@ -136,6 +137,9 @@
 	mayPark := r.now < r.releaseDeadline(request) && r.now.Add(finishReserve) < request.Deadline
 	switch {
 	case target != nil:
+		if request.kvHolder == nil {
+			r.releaseBeforePrefill(request)
+		}
 		r.forward(request, target)
 	case request.kvHolder != nil && mayPark:
 		r.parked = append(r.parked, request)
--- a/control/walk_test.go
+++ b/control/walk_test.go
@@ -132,7 +132,12 @@
 		}
 	}
 	request.attemptInFlight, request.endpoint, request.sentAt = true, a.Endpoint, w.now
-	request.arrived = rapid.IntRange(0, 3).Draw(w.t, "arrives") > 0
+	if w.settings.RoleByKind[s.Kind] == control.RoleDecode && w.releases.Withdraw(fmt.Sprint(a.ID)) {
+		request.retained = true
+		request.releaseAskedAt = 0
+	}
+	isHeld := w.releases.IsPending(fmt.Sprint(a.ID)) // until the release is confirmed, which the walk leaves out
+	request.arrived = !isHeld && rapid.IntRange(0, 3).Draw(w.t, "arrives") > 0
 	request.attempts++
 }
 
@@ -160,9 +165,6 @@
 		request.executedAt, request.executedOn = request.sentAt, w.listed[request.endpoint].Endpoint
 	}
 	request.retained = request.retained || ran || result == control.PrefillDone
-	if result == control.PrefillDone {
-		w.releases.Withdraw(fmt.Sprint(request.ID))
-	}
 	request.attemptInFlight = false
 	w.endRetention(request, role, result)
 	if request.hasFirstToken {
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -44,7 +44,8 @@
 	role       control.Role
 	conn       *upstream.Conn // nil before it is had, and after the response
 	startedAt  time.Duration
-	deadline   time.Duration // for the first event
+	deadline   time.Duration    // for the first event
+	held       *control.Forward // it waits for a KV release; nil where it does not
 
 	state             attemptState
 	firstEventTimeout timerwheel.Timer
@@ -71,7 +72,6 @@
 func (a *attempt) start(action control.Forward) {
 	x := a.exchange
 	s := x.server
-	a.role = s.config.Settings.Control.RoleByKind[a.endpoint.kind]
 	a.firstEventTimeout.Fire = a.handleFirstEventTimeout
 	idempotency := s.config.Settings.Control.Classes[x.meta.request.Class].Idempotency
 	mustNotRepeat := a.role != control.RolePrefill && idempotency != control.Idempotent
@@ -87,6 +87,35 @@
 	conn.SendWithin(action.SendWithin)
 }
 
+// hold has the attempt wait until the request's KV release is confirmed. Where that takes all of
+// its time, it ends as not sent.
+func (a *attempt) hold(action control.Forward) {
+	a.held = &action
+	a.firstEventTimeout.Fire = a.handleHeldTimeout
+	a.exchange.server.loop.StartTimer(&a.firstEventTimeout, action.Timeout)
+}
+
+func (a *attempt) handleHeldTimeout() { a.finish(control.NotSent, false) }
+
+// continueHeld starts an attempt that was held, unless its engine has left the list or drains by
+// now.
+func (a *attempt) continueHeld() {
+	if a.held == nil || a.state == attemptEnded {
+		return
+	}
+	s := a.exchange.server
+	action := *a.held
+	a.held = nil
+	s.loop.StopTimer(&a.firstEventTimeout)
+	member, isListed := s.membership.Get(a.endpointID)
+	action.Timeout = a.deadline - s.loop.Now()
+	if !isListed || member.State != control.Ready || action.Timeout <= 0 {
+		a.finish(control.NotSent, false)
+		return
+	}
+	a.start(action)
+}
+
 // RequestHead builds the request's head when the connection is established: it tells the time
 // that is left then.
 func (a *attempt) RequestHead() []byte {
@@ -229,7 +258,7 @@
 func (a *attempt) finishByStatus() {
 	outcome := classifyResponse(a.role, a.status, a.rejected)
 	if outcome.result == control.PrefillDone {
-		a.exchange.retainsKV()
+		a.exchange.kv.mayRetain = true
 		a.cachedTokens = parseCachedTokens(a.buffered)
 	}
 	a.kvMissing = outcome.kvMissing
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -30,8 +30,8 @@
 
 // kvFacts is what is known of the KV state that a request's attempts left at engines.
 type kvFacts struct {
-	mayRetain       bool // an engine may retain KV state
-	mayOutliveStart bool // some may be left after the answer's start, which releases all that is there by then
+	mayRetain         bool // an engine may retain KV state
+	prefillMayEndLate bool // a prefill that was given up may yet end, and retain its KV state then
 }
 
 // How a request ended, in the lines of the trace of requests.
@@ -134,6 +134,15 @@
 		a.finish(control.NotSent, false)
 		return
 	}
+	a.role = s.config.Settings.Control.RoleByKind[a.endpoint.kind]
+	releases := s.kvReleases.scheduler
+	if a.role == control.RoleDecode {
+		releases.Withdraw(x.meta.callID) // or it would take the KV state from this attempt
+	}
+	if releases.IsPending(x.meta.callID) { // or it would take the KV state that this attempt leaves
+		a.hold(action)
+		return
+	}
 	a.start(action)
 }
 
@@ -160,8 +169,7 @@
 	x.lastResult = result
 	if mayHaveExecuted(result) && !hadStarted {
 		x.kv.mayRetain = true
-		// A prefill that was given up may yet end.
-		x.kv.mayOutliveStart = x.kv.mayOutliveStart || a.role != control.RoleDecode
+		x.kv.prefillMayEndLate = x.kv.prefillMayEndLate || a.role != control.RoleDecode
 	}
 }
 
@@ -211,7 +219,9 @@
 		x.traceRequest(endedUnusable)
 		client.respond(400, "", "the engine can't use this request\n")
 	}
-	if x.kv.mayOutliveStart {
+	// A prefill that was given up may yet end and retain its KV state, after the stream's start
+	// has released all else.
+	if x.kv.prefillMayEndLate {
 		x.server.enqueueKVRelease(x.meta.callID, control.ReleasedAtFinish)
 	}
 }
@@ -281,19 +291,8 @@
 	if !x.kv.mayRetain {
 		return
 	}
-	isBetweenAttempts := x.attempt == nil && x.client != nil
-	if isBetweenAttempts { // a further prefill withdraws this release, and an engine may be cut off now
-		x.kv.mayOutliveStart = true
-	}
 	if x.attempt != nil && x.attempt.state == attemptWaiting {
 		x.attempt.recordSilence()
 	}
 	x.server.enqueueKVRelease(x.meta.callID, action.Reason)
 }
-
-// retainsKV takes in that an engine retains KV state for the request from now on. A release that
-// is pending is withdrawn, or it would release this state with an earlier one.
-func (x *exchange) retainsKV() {
-	x.kv.mayRetain = true
-	x.server.kvReleases.scheduler.Withdraw(x.meta.callID)
-}
--- a/internal/platform/golden_rig_test.go
+++ b/internal/platform/golden_rig_test.go
@@ -101,20 +101,6 @@
 // prefillDone is a prefill engine's normal answer.
 var prefillDone = writes("HTTP/1.1 202 Accepted\r\nContent-Length: 20\r\n\r\n{\"cached_tokens\":12}")
 
-// afterRelease replies as next does once an engine has got a release call, within replyTimeout.
-func afterRelease(next reply) reply {
-	return func(c *engineCall) bool {
-		rig := c.engine.rig
-		for deadline := time.Now().Add(replyTimeout); !rig.hasRelease() && time.Now().Before(deadline); {
-			time.Sleep(time.Millisecond)
-		}
-		return next(c)
-	}
-}
-
-// replyTimeout bounds how long a reply waits for something else to happen.
-const replyTimeout = 5 * time.Second
-
 // recordedEngine is an engine that records the exact bytes it receives.
 type recordedEngine struct {
 	rig      *goldenRig
@@ -200,9 +186,6 @@
 	zone    string        // of all engines
 	// keepRetryAfter keeps the value of Retry-After in the transcript: it doesn't depend on the clock.
 	keepRetryAfter bool
-	// releaseLeavesWithPrefill tells that a release call and a prefill attempt leave in one iteration: which
-	// engine reads first is chance, and the transcript shows the release first.
-	releaseLeavesWithPrefill bool
 
 	mu       sync.Mutex
 	closers  []io.Closer        // of the rig's own sockets
@@ -548,7 +531,10 @@
 	names := map[*recordedEngine]string{}
 	used := map[string]int{}
 	var out strings.Builder
-	for _, record := range rig.orderedRecords() {
+	for _, record := range rig.records {
+		if isProbe(record) {
+			continue
+		}
 		role := roleNames[record.engine.flavor]
 		if names[record.engine] == "" {
 			used[role]++
@@ -562,26 +548,6 @@
 	return out.String()
 }
 
-// orderedRecords are the records without probes, in the order of arrival where that is not chance.
-func (rig *goldenRig) orderedRecords() []engineRecord {
-	records := slices.DeleteFunc(slices.Clone(rig.records), isProbe)
-	for i := 1; rig.releaseLeavesWithPrefill && i < len(records); i++ {
-		if isRelease(records[i]) && roleNames[records[i-1].engine.flavor] == "prefill" {
-			records[i-1], records[i] = records[i], records[i-1]
-		}
-	}
-	return records
-}
-
-// hasRelease tells whether an engine has got a release call.
-func (rig *goldenRig) hasRelease() bool {
-	rig.mu.Lock()
-	defer rig.mu.Unlock()
-	return slices.ContainsFunc(rig.records, isRelease)
-}
-
-func isRelease(record engineRecord) bool { return strings.Contains(record.text, `"DELETE `) }
-
 func isProbe(record engineRecord) bool { return strings.Contains(record.text, `"GET `) }
 
 // probeTranscript shows each form of probe once: their number depends on the clock.
--- a/internal/platform/golden_test.go
+++ b/internal/platform/golden_test.go
@@ -18,8 +18,6 @@
 	class   string             // of the request; ask where it is empty
 	edits   []string           // of the request
 	script  map[string][]reply // replies to successive POSTs, by engine flavor
-
-	releaseLeavesWithPrefill bool // as goldenRig has it
 }
 
 // decodeReplies scripts the first replies of the decode engines together.
@@ -30,10 +28,6 @@
 
 const rejected = "X-Rejected: 1\r\n"
 
-// kvMissing scripts a decode engine that has no KV state, and a second prefill that ends after the release call
-// which leaves with it.
-var kvMissing = map[string][]reply{"w1": {writes(status(410, rejected))}, "r1": {prefillDone, afterRelease(prefillDone)}}
-
 // brokenStream is an answer up to its first event.
 var brokenStream = chunkedHead + chunk(first)
 
@@ -58,8 +52,8 @@
 	{name: "202-from-decode", script: decodeReplies(prefillDone)},
 	{name: "202-from-decode-at-most-once", class: "note", script: decodeReplies(prefillDone)},
 
-	{name: "410-rejected", releaseLeavesWithPrefill: true, script: kvMissing},
-	{name: "410-rejected-at-most-once", class: "note", releaseLeavesWithPrefill: true, script: kvMissing},
+	{name: "410-rejected", script: decodeReplies(writes(status(410, rejected)))},
+	{name: "410-rejected-at-most-once", class: "note", script: decodeReplies(writes(status(410, rejected)))},
 	{name: "410", script: decodeReplies(writes(status(410, "")))},
 	{name: "410-at-most-once", class: "note", script: decodeReplies(writes(status(410, "")))},
 	{name: "503-rejected", script: decodeReplies(writes(status(503, rejected)))},
@@ -114,7 +108,6 @@
 				class = "ask"
 			}
 			rig := newGoldenRig(t, flavors...)
-			rig.releaseLeavesWithPrefill = s.releaseLeavesWithPrefill
 			for flavor, replies := range s.script {
 				rig.script[flavor] = append([]reply(nil), replies...)
 			}
--- a/internal/platform/kvrelease.go
+++ b/internal/platform/kvrelease.go
@@ -58,6 +58,9 @@
 func (s *Server) completeKVRelease(call kvrelease.Call, isReleased bool) {
 	completion := s.kvReleases.scheduler.Complete(s.now(), call, isReleased)
 	s.logKVRelease(call, completion)
+	if x := s.exchanges.byClientID[call.Key]; completion.Released && x != nil && x.attempt != nil {
+		x.attempt.continueHeld()
+	}
 	s.schedulePoll()
 }
 
--- a/internal/platform/retention_test.go
+++ b/internal/platform/retention_test.go
@@ -7,10 +7,13 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"martenlock/control"
 )
 
 // retentionSlack is what the platform allows on top of the retention limit of the settings.
@@ -240,3 +243,128 @@
 	}
 	t.Logf("%d requests, %d served, %d retained past the limit", len(all), served, late)
 }
+
+// TestPrefillIsHeldUntilReleaseIsConfirmed: the release of what an earlier prefill may have left is answered before
+// the further prefill is sent, and where no engine answers it, nothing is sent.
+func TestPrefillIsHeldUntilReleaseIsConfirmed(t *testing.T) {
+	w := startHarness(t, "r1", "w1")
+	var mu sync.Mutex
+	var order []string
+	answersReleases := make(chan struct{})
+	for _, e := range w.engines {
+		e.setScript(func(r *recordedRequest) bool {
+			if r.method == "DELETE" {
+				<-answersReleases
+			}
+			mu.Lock()
+			order = append(order, r.method+" "+r.engine.flavor)
+			isFirstDecode := len(order) == 2
+			mu.Unlock()
+			if isFirstDecode && r.engine.flavor == "w1" {
+				return r.write(status(410, "X-Rejected: 1\r\n"))
+			}
+			return wellBehaved(r)
+		})
+	}
+	answered := make(chan clientAnswer, 1)
+	go func() { answered <- w.roundTrip(w.chat("ask")) }()
+	w.waitOnLoop("the second prefill is held", func() bool {
+		for _, x := range w.server.exchanges.byID {
+			if x.attempt != nil && x.attempt.held != nil {
+				return true
+			}
+		}
+		return false
+	})
+	if n := w.postCounts(); n[0] != 1 || n[1] != 1 {
+		t.Errorf("%v attempts before the release is answered", n)
+	}
+	close(answersReleases)
+	if answer := <-answered; answer.code != 200 {
+		t.Errorf("answered %d", answer.code)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(order) < 4 || !strings.HasPrefix(order[2], "DELETE") {
+		t.Errorf("engines saw %v", order)
+	}
+}
+
+// TestHeldPrefillEndsAsNotSent: an attempt is not held past its client's time, and not sent to an engine that
+// drains by then.
+func TestHeldPrefillEndsAsNotSent(t *testing.T) {
+	for name, drains := range map[string]bool{"no engine answers the release": false, "the engine drains": true} {
+		t.Run(name, func(t *testing.T) {
+			w := startHarness(t, "r1", "w1", "w1")
+			answersReleases := make(chan struct{})
+			for _, e := range w.engines {
+				e.setScript(func(r *recordedRequest) bool {
+					switch {
+					case r.method == "DELETE":
+						<-answersReleases
+					case r.engine.flavor == "w1":
+						return r.write(status(410, "X-Rejected: 1\r\n"))
+					}
+					return wellBehaved(r)
+				})
+			}
+			answered := make(chan clientAnswer, 1)
+			go func() { answered <- w.roundTrip(w.chat("ask", "4000m", "700m")) }()
+			w.waitOnLoop("the second prefill is held", func() bool {
+				for _, x := range w.server.exchanges.byID {
+					if x.attempt != nil && x.attempt.held != nil {
+						return true
+					}
+				}
+				return false
+			})
+			if drains {
+				w.notifyChange(w.engines[0].entry("terminating", 0))
+				w.waitOnLoop("the engine drains", func() bool {
+					member, _ := w.server.membership.Get((&endpointEntry{ID: w.engines[0].id}).endpointID())
+					return member.State == control.Draining
+				})
+				close(answersReleases)
+			} else {
+				defer close(answersReleases)
+			}
+			if answer := <-answered; answer.code != 503 {
+				t.Errorf("answered %d, want 503", answer.code)
+			}
+			if n := w.postCounts(); n[0] != 1 {
+				t.Errorf("%d attempts at the prefill engine", n[0])
+			}
+		})
+	}
+}
+
+// TestDecodeRetryWithdrawsPendingRelease: a decode engine that rejects the request late proves that the attempt had
+// arrived; the next one gets the KV state, though its release was asked for meanwhile and no engine has answered.
+func TestDecodeRetryWithdrawsPendingRelease(t *testing.T) {
+	w := startHarness(t, "r1", "w1", "w1")
+	ended := make(chan struct{})
+	defer close(ended)
+	asked := make(chan struct{})
+	var once sync.Once
+	for _, e := range w.engines {
+		e.setScript(func(r *recordedRequest) bool {
+			switch {
+			case r.method == "DELETE":
+				once.Do(func() { close(asked) })
+				<-ended
+				return false
+			case r.engine.flavor == "w1":
+				isFirst := w.postCounts()[1]+w.postCounts()[2] == 1
+				if isFirst {
+					<-asked
+					return r.write(status(503, "X-Rejected: 1\r\n"))
+				}
+			}
+			return wellBehaved(r)
+		})
+	}
+	if answer := w.roundTrip(w.chat("ask")); answer.code != 200 {
+		t.Errorf("answered %d", answer.code)
+	}
+	w.waitOnLoop("nothing is pending", func() bool { return w.server.kvReleases.scheduler.Len() == 0 })
+}
