--- a/internal/platform/eventlog.go
+++ b/internal/platform/eventlog.go
@@ -14,11 +14,11 @@
 // became of a KV release. Requests and connections have budgets of their own, so that a flood of
 // one kind hides none of the other.
 type eventLog struct {
-	logger         zerolog.Logger
-	now            func() time.Duration
-	requestLines   connlimit.RateBudget
-	connLines      connlimit.RateBudget
-	suppressedLine uint64 // since the latest line that was written
+	logger       zerolog.Logger
+	now          func() time.Duration
+	requestLines connlimit.RateBudget
+	connLines    connlimit.RateBudget
+	suppressed   uint64 // lines since the latest that was written
 }
 
 func newEventLog(logger zerolog.Logger, now func() time.Duration) eventLog {
@@ -35,13 +35,13 @@
 // line begins a line within a budget. It tells how many lines were left out before it.
 func (l *eventLog) line(budget *connlimit.RateBudget) *zerolog.Event {
 	if !budget.Allow(l.now()) {
-		l.suppressedLine++
+		l.suppressed++
 		return nil
 	}
 	line := l.logger.Info()
-	if l.suppressedLine > 0 {
-		line = line.Uint64("lines_suppressed", l.suppressedLine)
-		l.suppressedLine = 0
+	if l.suppressed > 0 {
+		line = line.Uint64("lines_suppressed", l.suppressed)
+		l.suppressed = 0
 	}
 	return line
 }
