--- a/internal/eventloop/syscalls_test.go
+++ b/internal/eventloop/syscalls_test.go
@@ -67,3 +67,22 @@
 		t.Error("an empty backlog is no passing error")
 	}
 }
+
+// TestRefusedConnectionGetsNoHandler: a descriptor that epoll does not take, here a file, is closed before anyone is
+// told of a connection; its handler would never hear of the end.
+func TestRefusedConnectionGetsNoHandler(t *testing.T) {
+	l, do := start(t, Options{})
+	told := 0
+	ln := listen(t, l, do, func(*Conn) Handler { told++; return discard{} })
+	fd, err := unix.Open(t.TempDir(), unix.O_RDONLY|unix.O_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	do(func() {
+		ln.admit(fd)
+		_, err := unix.FcntlInt(uintptr(fd), unix.F_GETFD, 0)
+		if told != 0 || ln.Open() != 0 || err != unix.EBADF {
+			t.Errorf("told %d times, %d open, descriptor: %v", told, ln.Open(), err)
+		}
+	})
+}
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -296,7 +296,7 @@
 	s.loop.StopTimer(&a.streamIdleTimeout)
 	gaveUp := a.closeConn()
 	a.discardBuffered()
-	if !hadStarted && showsSilence(result) {
+	if !hadStarted && showsSilence(result) && !a.lostReusedConn { // an idle connection's end says nothing of the engine
 		a.recordSilence()
 	}
 	x.attemptEnded(a, result, hadStarted)
--- a/internal/platform/eventlog.go
+++ b/internal/platform/eventlog.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"martenlock/control"
-	"martenlock/control/connlimit"
 )
 
 // eventLog writes the lines from which an incident's timeline is put together: what went wrong
@@ -16,25 +16,39 @@
 type eventLog struct {
 	logger       zerolog.Logger
 	now          func() time.Duration
-	requestLines connlimit.RateBudget
-	connLines    connlimit.RateBudget
+	requestLines *rate.Limiter
+	connLines    *rate.Limiter
 	suppressed   uint64 // lines since the latest that was written
 }
 
+const (
+	// eventLinesPerSecond is how many lines of one kind a busy router may log: enough to follow single
+	// requests through a fault.
+	eventLinesPerSecond = 50
+	// eventLineBurst may be logged at once: a fault begins for many requests in the same moment.
+	eventLineBurst = 200
+)
+
+// newEventLog returns a log whose budgets run on the loop's clock: the wall clock may be stepped.
 func newEventLog(logger zerolog.Logger, now func() time.Duration) eventLog {
-	return eventLog{logger: logger, now: now}
+	return eventLog{
+		logger:       logger,
+		now:          now,
+		requestLines: rate.NewLimiter(eventLinesPerSecond, eventLineBurst),
+		connLines:    rate.NewLimiter(eventLinesPerSecond, eventLineBurst),
+	}
 }
 
 // request begins a line about a request; nil, which writes nothing, where its budget is used up.
-func (l *eventLog) request() *zerolog.Event { return l.line(&l.requestLines) }
+func (l *eventLog) request() *zerolog.Event { return l.line(l.requestLines) }
 
 // connection begins a line about a connection; nil, which writes nothing, where its budget is
 // used up.
-func (l *eventLog) connection() *zerolog.Event { return l.line(&l.connLines) }
+func (l *eventLog) connection() *zerolog.Event { return l.line(l.connLines) }
 
 // line begins a line within a budget. It tells how many lines were left out before it.
-func (l *eventLog) line(budget *connlimit.RateBudget) *zerolog.Event {
-	if !budget.Allow(l.now()) {
+func (l *eventLog) line(budget *rate.Limiter) *zerolog.Event {
+	if !budget.AllowN(time.Unix(0, 0).Add(l.now()), 1) {
 		l.suppressed++
 		return nil
 	}
--- a/internal/platform/eventlog_test.go
+++ b/internal/platform/eventlog_test.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // expectLine fails the test unless a line of this message has these fields.
@@ -67,3 +70,31 @@
 		t.Errorf("logged %v", lines)
 	}
 }
+
+// TestEventLogIsBounded: a flood of one kind gets the burst and then the rate, tells how much was left out, and takes
+// nothing from the other kind.
+func TestEventLogIsBounded(t *testing.T) {
+	var written logBuffer
+	now := time.Second
+	events := newEventLog(zerolog.New(&written), func() time.Duration { return now })
+	for range 10 * eventLineBurst {
+		events.request().Msg("request")
+	}
+	if n := len(written.lines("request")); n != eventLineBurst {
+		t.Errorf("%d lines at once, want %d", n, eventLineBurst)
+	}
+	events.connection().Msg("connection")
+	lines := written.lines("connection")
+	if len(lines) != 1 || lines[0]["lines_suppressed"] != float64(9*eventLineBurst) {
+		t.Errorf("the other kind: %v", lines)
+	}
+	const seconds = 10
+	before := len(written.lines("request"))
+	for range seconds * 1000 {
+		now += time.Millisecond
+		events.request().Msg("request")
+	}
+	if n := len(written.lines("request")) - before; n < seconds*eventLinesPerSecond-1 || n > seconds*eventLinesPerSecond+1 {
+		t.Errorf("%d lines in %d s of a flood", n, seconds)
+	}
+}
