--- a/review/standins/platform.go
+++ b/review/standins/platform.go
@@ -22,14 +22,7 @@
 	revision int
 	engines  []*engine
 	held     map[string]string // reader that holds a request's state, by X-Call-Id
-	watches  map[*watch]bool
-	listener net.Listener // of discovery
-}
-
-// watch is an open watch of discovery.
-type watch struct {
-	conn net.Conn
-	mu   sync.Mutex
+	listener net.Listener      // of discovery
 }
 
 func newWorld(rec *recorder) (*world, error) {
@@ -37,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{rec: rec, revision: 1, held: map[string]string{}, watches: map[*watch]bool{}, listener: listener}
+	w := &world{rec: rec, revision: 1, held: map[string]string{}, listener: listener}
 	go w.serveDiscovery()
 	return w, nil
 }
@@ -78,58 +71,29 @@
 	}
 }
 
-// serveWatch answers one call with the whole list. A watch stays open, with an empty line every 2 s.
+// serveWatch answers one call with the whole list. The watch stays open, with an empty line every 2 s.
 func (w *world) serveWatch(conn net.Conn) {
+	defer conn.Close()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
-		conn.Close()
 		return
 	}
-	opened := &watch{conn: conn}
 	w.mu.Lock()
 	text, _ := json.Marshal(w.list())
-	w.rec.logf("discovery: %s answered with revision %d", request.URL, w.revision)
-	w.watches[opened] = true
-	opened.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n", false)
-	opened.send(string(text)+"\n", true)
 	w.mu.Unlock()
-	for opened.send("\n", true) == nil {
+	w.rec.logf("discovery: %s answered with the whole list", request.URL)
+	open := write(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk(string(text)+"\n"))
+	for open {
 		time.Sleep(2 * time.Second)
+		open = write(conn, chunk("\n"))
 	}
-	w.mu.Lock()
-	delete(w.watches, opened)
-	w.mu.Unlock()
-	conn.Close()
-}
-
-func (o *watch) send(text string, asChunk bool) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if asChunk {
-		text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
-	}
-	_, err := io.WriteString(o.conn, text)
-	return err
-}
-
-// setPhase changes an engine's phase and tells it on all watches.
-func (w *world) setPhase(e *engine, phase string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.revision++
-	e.phase = phase
-	text, _ := json.Marshal(message{Revision: w.revision, Members: []entry{e.entry()}})
-	for opened := range w.watches {
-		_ = opened.send(string(text)+"\n", true)
-	}
-	w.rec.logf("discovery: revision %d: %s is %s", w.revision, e.name, phase)
 }
 
 // engine is one server of the platform. A reader answers 202 and holds the state; a writer takes it and streams.
 type engine struct {
 	world    *world
 	name     string
-	flavor   string // read, write, both
+	flavor   string // read or write
 	cell     int
 	phase    string
 	address  string
@@ -137,11 +101,6 @@
 
 	// handle answers an attempt whose last byte has arrived. It reports whether the connection stays open.
 	handle func(e *engine, conn net.Conn, id string) (open bool)
-	// release is called before a DELETE takes effect; may be nil.
-	release func(id string)
-
-	mu    sync.Mutex
-	conns map[net.Conn]bool
 }
 
 func (e *engine) entry() entry {
@@ -155,7 +114,7 @@
 	}
 	e := &engine{
 		world: w, name: name, flavor: flavor, cell: 1, phase: "in_service", address: listener.Addr().String(),
-		listener: listener, handle: handle, conns: map[net.Conn]bool{},
+		listener: listener, handle: handle,
 	}
 	w.mu.Lock()
 	w.engines = append(w.engines, e)
@@ -170,20 +129,12 @@
 		if err != nil {
 			return
 		}
-		e.mu.Lock()
-		e.conns[conn] = true
-		e.mu.Unlock()
 		go e.serveConn(conn)
 	}
 }
 
 func (e *engine) serveConn(conn net.Conn) {
-	defer func() {
-		e.mu.Lock()
-		delete(e.conns, conn)
-		e.mu.Unlock()
-		conn.Close()
-	}()
+	defer conn.Close()
 	reader := bufio.NewReaderSize(conn, 64<<10)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -196,9 +147,6 @@
 		switch {
 		case request.Method == http.MethodDelete:
 			id := strings.TrimPrefix(request.URL.Path, "/bootstrap/rooms/")
-			if e.release != nil {
-				e.release(id)
-			}
 			e.world.mu.Lock()
 			_, wasHeld := e.world.held[id]
 			delete(e.world.held, id)
@@ -223,18 +171,6 @@
 	}
 }
 
-// crash ends the engine as a process that dies: its connections are reset and new ones refused.
-func (e *engine) crash() {
-	e.listener.Close()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for conn := range e.conns {
-		_ = conn.(*net.TCPConn).SetLinger(0)
-		conn.Close()
-	}
-	e.world.rec.logf("%s: crashed", e.name)
-}
-
 // read is a reader's part: it computes the prompt and holds its state.
 func read(e *engine, conn net.Conn, id string, duration time.Duration) bool {
 	time.Sleep(duration)
