--- a/review/standins/platform.go
+++ b/review/standins/platform.go
@@ -22,7 +22,21 @@
 	revision int
 	engines  []*engine
 	held     map[string]string // reader that holds a request's state, by X-Call-Id
-	listener net.Listener      // of discovery
+	watches  map[*watch]bool
+	listener net.Listener // of discovery
+}
+
+// watch is an open watch of discovery.
+type watch struct {
+	conn net.Conn
+	mu   sync.Mutex
+}
+
+// send sends one piece of the body.
+func (o *watch) send(text string) (open bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return write(o.conn, chunk(text))
 }
 
 func newWorld(rec *recorder) (*world, error) {
@@ -30,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{rec: rec, revision: 1, held: map[string]string{}, listener: listener}
+	w := &world{rec: rec, revision: 1, held: map[string]string{}, watches: map[*watch]bool{}, listener: listener}
 	go w.serveDiscovery()
 	return w, nil
 }
@@ -78,43 +92,99 @@
 	if err != nil {
 		return
 	}
+	opened := &watch{conn: conn}
 	w.mu.Lock()
 	text, _ := json.Marshal(w.list())
+	w.rec.logf("discovery: %s answered with revision %d", request.URL, w.revision)
+	open := write(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n") && opened.send(string(text)+"\n")
+	w.watches[opened] = true
 	w.mu.Unlock()
-	w.rec.logf("discovery: %s answered with the whole list", request.URL)
-	open := write(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk(string(text)+"\n"))
 	for open {
 		time.Sleep(2 * time.Second)
-		open = write(conn, chunk("\n"))
+		open = opened.send("\n")
+	}
+	w.mu.Lock()
+	delete(w.watches, opened)
+	w.mu.Unlock()
+}
+
+// setPhase changes the phase of engines and tells it on all watches.
+func (w *world) setPhase(phase string, engines ...*engine) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision++
+	change := message{Revision: w.revision}
+	for _, e := range engines {
+		e.phase = phase
+		change.Members = append(change.Members, e.entry())
+		w.rec.logf("discovery: revision %d: %s is %s", w.revision, e.name, phase)
+	}
+	text, _ := json.Marshal(change)
+	for opened := range w.watches {
+		opened.send(string(text) + "\n")
 	}
 }
 
+// handler answers an attempt whose last byte arrived at a time. It reports whether the connection stays open.
+type handler func(e *engine, conn net.Conn, id string, arrived time.Time) (open bool)
+
 // engine is one server of the platform. A reader answers 202 and holds the state; a writer takes it and streams.
 type engine struct {
 	world    *world
 	name     string
-	flavor   string // read or write
+	flavor   string // read, write or both
 	cell     int
 	phase    string
 	address  string
 	listener net.Listener
 
-	// handle answers an attempt whose last byte has arrived. It reports whether the connection stays open.
-	handle func(e *engine, conn net.Conn, id string) (open bool)
+	handle handler
+
+	mu        sync.Mutex
+	conns     map[net.Conn]bool
+	hangUntil time.Time
+}
+
+// hang makes the engine answer nothing for some time. What arrives meanwhile is handled afterwards.
+func (e *engine) hang(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hangUntil = time.Now().Add(d)
+	e.world.rec.logf("%s: hangs for %v", e.name, d)
+}
+
+// awaitHang returns once the engine does not hang.
+func (e *engine) awaitHang() {
+	e.mu.Lock()
+	until := e.hangUntil
+	e.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
+// crash ends the engine as a process that dies: its connections are reset and new ones refused.
+func (e *engine) crash() {
+	e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for conn := range e.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
+	e.world.rec.logf("%s: crashed", e.name)
 }
 
 func (e *engine) entry() entry {
 	return entry{ID: e.name, HostPort: e.address, Locality: "imanta", Flavor: e.flavor, Cell: e.cell, Phase: e.phase, Size: 1}
 }
 
-func (w *world) startEngine(name, flavor string, handle func(*engine, net.Conn, string) bool) (*engine, error) {
+func (w *world) startEngine(name, flavor string, handle handler) (*engine, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	e := &engine{
 		world: w, name: name, flavor: flavor, cell: 1, phase: "in_service", address: listener.Addr().String(),
-		listener: listener, handle: handle,
+		listener: listener, handle: handle, conns: map[net.Conn]bool{},
 	}
 	w.mu.Lock()
 	w.engines = append(w.engines, e)
@@ -129,12 +199,20 @@
 		if err != nil {
 			return
 		}
+		e.mu.Lock()
+		e.conns[conn] = true
+		e.mu.Unlock()
 		go e.serveConn(conn)
 	}
 }
 
 func (e *engine) serveConn(conn net.Conn) {
-	defer conn.Close()
+	defer func() {
+		e.mu.Lock()
+		delete(e.conns, conn)
+		e.mu.Unlock()
+		conn.Close()
+	}()
 	reader := bufio.NewReaderSize(conn, 64<<10)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -144,6 +222,11 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
+		arrived := time.Now()
+		if request.Method == http.MethodPost {
+			e.world.rec.logf("%s: attempt %s arrived, X-Budget %s", e.name, request.Header.Get("X-Call-Id"), request.Header.Get("X-Budget"))
+		}
+		e.awaitHang()
 		switch {
 		case request.Method == http.MethodDelete:
 			id := strings.TrimPrefix(request.URL.Path, "/bootstrap/rooms/")
@@ -157,9 +240,7 @@
 				return
 			}
 		case request.Method == http.MethodPost && request.URL.Path == "/v1/chat/completions":
-			id := request.Header.Get("X-Call-Id")
-			e.world.rec.logf("%s: attempt %s arrived, X-Budget %s", e.name, id, request.Header.Get("X-Budget"))
-			if !e.handle(e, conn, id) {
+			if !e.handle(e, conn, request.Header.Get("X-Call-Id"), arrived) {
 				return
 			}
 		default:
--- a/review/standins/secondanswer.go
+++ b/review/standins/secondanswer.go
@@ -33,8 +33,10 @@
 		defer randomMu.Unlock()
 		return random.Float64()
 	}
-	reader := func(e *engine, conn net.Conn, id string) bool { return read(e, conn, id, 10*time.Millisecond) }
-	writer := func(e *engine, conn net.Conn, id string) bool {
+	reader := func(e *engine, conn net.Conn, id string, _ time.Time) bool {
+		return read(e, conn, id, 10*time.Millisecond)
+	}
+	writer := func(e *engine, conn net.Conn, id string, _ time.Time) bool {
 		taken, open := takeState(e, conn, id)
 		if !taken {
 			return open
