Log which connection a response came on, how long it had been idle, and its requests

The logs could not tell three explanations apart: bytes that arrive after an idle connection was taken for a request, bytes that were there before and went unnoticed, and requests that the router itself mixes up. They named neither the connection of an attempt nor how long it had been idle.

"engine connection closed" now has the connection's number, its requests and its idle time, and MARTENLOCK_TRACE=2 writes "response trace" for each response.

--- a/internal/openaiserver/engine.go
+++ b/internal/openaiserver/engine.go
@@ -42,9 +42,15 @@
 
 // connClosed is called after a connection was closed. It logs the reason unless the reason is routine, and removes the
 // engine if it is now unused.
-func (e *engine) connClosed(reason upstream.CloseReason) {
+func (e *engine) connClosed(reason upstream.CloseReason, use upstream.ConnUse) {
 	if !reason.IsRoutine() {
-		e.server.log.Debug().Str("endpoint", e.endpoint.Name).Stringer("reason", reason).Msg("engine connection closed")
+		e.server.log.Debug().
+			Str("endpoint", e.endpoint.Name).
+			Stringer("reason", reason).
+			Int("connection", use.Number).
+			Int("requests", use.Requests).
+			Dur("idle_ms", use.IdleFor).
+			Msg("engine connection closed")
 	}
 	e.removeIfUnused()
 }
--- a/internal/platform/attemptresponse.go
+++ b/internal/platform/attemptresponse.go
@@ -21,6 +21,7 @@
 func (a *attempt) Head(head *http1.Head) {
 	a.status = head.Status
 	a.rejected = string(head.Get("x-rejected")) == "1"
+	a.traceResponse()
 	if a.status == http.StatusOK && (!head.Chunked || a.role == control.RolePrefill) {
 		a.finish(control.Failed, false)
 	}
--- a/internal/platform/endpoint.go
+++ b/internal/platform/endpoint.go
@@ -44,9 +44,15 @@
 }
 
 // connClosed is the OnConnClosed callback of upstream.ConnPool. It logs the reason unless it is routine.
-func (e *endpoint) connClosed(reason upstream.CloseReason) {
+func (e *endpoint) connClosed(reason upstream.CloseReason, use upstream.ConnUse) {
 	if !reason.IsRoutine() {
-		e.server.events.connLine().Str("endpoint_name", e.name).Stringer("reason", reason).Msg("engine connection closed")
+		e.server.events.connLine().
+			Str("endpoint_name", e.name).
+			Stringer("reason", reason).
+			Int("connection", use.Number).
+			Int("requests", use.Requests).
+			Dur("idle_ms", use.IdleFor).
+			Msg("engine connection closed")
 	}
 	e.removeIfUnused()
 }
--- a/internal/platform/eventlog_test.go
+++ b/internal/platform/eventlog_test.go
@@ -81,6 +81,34 @@
 	}
 }
 
+// TestUseOfAnEngineConnectionIsLogged: the request trace has the connection of each response. The line about a connection
+// that is closed because of stray bytes has the same number, the requests that it has carried and how long it was idle.
+func TestUseOfAnEngineConnectionIsLogged(t *testing.T) {
+	h := startHarness(t, "r1", "w1")
+	h.runOnLoop(func() { h.server.startTrace(traceLevelRequests) })
+	sendStray := make(chan struct{})
+	h.engines[1].SetScript(platformtest.ForAttempts(func(r *platformtest.Request) bool {
+		r.Write(platformtest.Stream())
+		<-sendStray
+		return r.Write(platformtest.Stream())
+	}))
+
+	h.roundTrip(h.chat("ask"))
+	close(sendStray)
+	h.waitFor("the connection to be closed", func() bool { return len(h.log.lines("engine connection closed")) > 0 })
+
+	h.expectLogged("response trace", map[string]any{
+		"call_id": "c1", "attempt": 1, "endpoint_name": "s-1", "status": 200, "connection": 1, "requests": 1, "idle_ms": 0,
+	})
+	h.expectLogged("engine connection closed", map[string]any{
+		"endpoint_name": "s-1", "reason": "stray_bytes", "connection": 1, "requests": 1,
+	})
+	closed := h.log.lines("engine connection closed")[0]
+	if idle, isNumber := closed["idle_ms"].(float64); !isNumber || idle < 0 {
+		t.Errorf("idle_ms is %v, want the time since the response", closed["idle_ms"])
+	}
+}
+
 // TestEventLogIsBounded: a flood of one kind of line is limited to the burst and then to the rate, the number of suppressed
 // lines is reported, and lines of the other kind are not suppressed.
 func TestEventLogIsBounded(t *testing.T) {
--- a/internal/platform/requesttrace.go
+++ b/internal/platform/requesttrace.go
@@ -33,6 +33,26 @@
 		Msg("request trace")
 }
 
+// traceResponse does nothing unless requests are traced. It logs the connection on which the response to
+// the attempt has begun, so that a response can be matched with what the engine has sent on it.
+func (a *attempt) traceResponse() {
+	s := a.exchange.server
+	if !s.traceRequests || a.conn == nil {
+		return
+	}
+	use := a.conn.Use()
+	s.log.Info().
+		Str("call_id", a.exchange.meta.callID).
+		Int("attempt", int(a.number)).
+		Str("endpoint_name", s.endpointName(a.endpointID)).
+		Int("status", a.status).
+		Int("connection", use.Number).
+		Int("requests", use.Requests).
+		Dur("idle_ms", use.IdleFor).
+		Dur("elapsed_ms", s.loop.Now()-a.startedAt).
+		Msg("response trace")
+}
+
 // endpointIDShift shortens an endpoint's id in the request trace to its upper 16 bits.
 const endpointIDShift = 48
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,6 +20,8 @@
 	conn        *eventloop.Conn
 	parser      *http1.Parser
 	addr        netip.AddrPort // the engine's address when the current request was started
+	number      int            // among the connections of the pool, from 1
+	requests    int            // started on the connection so far
 	established bool
 	closed      bool
 	timer       timerwheel.Timer // ConnectTimeout until established, IdleTimeout while idle
@@ -40,6 +42,24 @@
 	at    time.Duration // on the loop's clock; valid while the timer runs
 }
 
+// ConnUse describes how a connection has been used, for log lines.
+type ConnUse struct {
+	Number   int // of the connection among those made to its engine, from 1
+	Requests int // started on the connection, the current one included
+	// IdleFor is how long the connection was idle before the current request or, if it is idle, how long
+	// it has been idle. It is 0 before the end of the first response.
+	IdleFor time.Duration
+}
+
+// Use returns how the connection has been used. It may be called after the connection has closed.
+func (c *Conn) Use() ConnUse {
+	use := ConnUse{Number: c.number, Requests: c.requests, IdleFor: c.reuse.idleFor}
+	if c.reuse.isIdle {
+		use.IdleFor = c.pool.Loop.Now() - c.reuse.idleSince
+	}
+	return use
+}
+
 // isIdle reports whether the connection waits for a request.
 func (c *Conn) isIdle() bool { return c.handler == nil && !c.closed && c.timer.Running() }
 
@@ -191,6 +211,7 @@
 	c.pool.Loop.StopTimer(&c.sendDeadline.timer)
 	if c.isReusable() {
 		c.conn.Resume()
+		c.reuse.isIdle = true
 		c.reuse.idleSince = c.pool.Loop.Now()
 		c.pool.addIdle(c)
 	} else {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -22,7 +22,7 @@
 	// of becoming idle.
 	Removed bool
 	// OnConnClosed, if set, is called when a connection has closed.
-	OnConnClosed func(reason CloseReason)
+	OnConnClosed func(reason CloseReason, use ConnUse)
 
 	idle      []*Conn // in the order of last use, most recent last
 	conns     map[*Conn]struct{}
@@ -54,6 +54,7 @@
 	c.handler = handler
 	c.addr = p.Addr
 	c.request = request{head: head, body: body}
+	c.requests++
 	if c.established {
 		c.send()
 	}
@@ -77,6 +78,7 @@
 		p.idle = p.idle[:last]
 		p.Loop.StopTimer(&c.timer)
 		if hasNoInput && isAllowed {
+			c.reuse.isIdle = false
 			c.reuse.pending = true
 			c.reuse.sentAt = p.Loop.Now()
 			return c
@@ -104,6 +106,7 @@
 	}
 	p.conns[c] = struct{}{}
 	p.connsMade++
+	c.number = p.connsMade
 	p.Budget.open++
 	p.Loop.StartTimer(&c.timer, p.Options.ConnectTimeout)
 	return c, nil
@@ -126,7 +129,7 @@
 	delete(p.conns, c)
 	p.Budget.open--
 	if p.OnConnClosed != nil {
-		p.OnConnClosed(reason)
+		p.OnConnClosed(reason, c.Use())
 	}
 }
 
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -16,6 +16,7 @@
 // reuse holds what Options.ReusePolicy is told about a request on a reused connection. Times are on
 // the loop's clock.
 type reuse struct {
+	isIdle    bool // a response has ended and no other request has started
 	idleSince time.Duration
 	idleFor   time.Duration // before the current request
 	sentAt    time.Duration
