Close an engine connection on which a response brings further bytes in the same read

What callers saw: an attempt that waited for the release of KV state could be given a response that no engine had sent for it. With a second response right behind the confirmation of a release, a prefill that had not been executed counted as failed (here) or, with status 202, as done.

Cause: Conn.endResponse returned the connection to the pool and called Complete before Conn.Data had looked at the rest of its input. Complete of a release call starts the deferred attempt at once, which took this very connection, and the rest was then parsed as its response. NoInputPending sees only bytes in the kernel and unconsumed ones, not those of the read in progress.

Requests of clients come through the mailbox at the end of the iteration and were not affected.

Why this works: bytes behind the end of a response belong to no request. The connection is closed before Complete can start another one.

--- a/internal/platform/kvrelease_test.go
+++ b/internal/platform/kvrelease_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -107,6 +108,44 @@
 	}
 }
 
+// TestStrayResponseBehindReleaseIsNotTakenForAttempt guards against a second response right behind the confirmation of a
+// release, which was taken for the response to the attempt that waited for the release.
+func TestStrayResponseBehindReleaseIsNotTakenForAttempt(t *testing.T) {
+	h := startHarness(t, "r1", "w1")
+	h.engines[0].SetScript(func(r *platformtest.Request) bool {
+		if r.Method == http.MethodDelete {
+			return r.Write("HTTP/1.1 204 No Content\r\n\r\n" + platformtest.Status(http.StatusInternalServerError, ""))
+		}
+		return platformtest.WellBehaved(r)
+	})
+	confirmByDecode := make(chan struct{})
+	t.Cleanup(func() { close(confirmByDecode) })
+	var isFirstDecode atomic.Bool
+	isFirstDecode.Store(true)
+	h.engines[1].SetScript(func(r *platformtest.Request) bool {
+		switch {
+		case r.Method == http.MethodDelete: // only the prefill engine confirms the release
+			<-confirmByDecode
+			return false
+		case isFirstDecode.Swap(false):
+			return r.Write(platformtest.Status(http.StatusGone, platformtest.RejectedHeader))
+		}
+		return platformtest.WellBehaved(r)
+	})
+
+	answer := h.roundTrip(h.chat("ask"))
+
+	if answer.Code != http.StatusOK {
+		t.Errorf("answered %d, want 200", answer.Code)
+	}
+	h.expectAttempts(2, 2)
+	for _, line := range h.log.lines("attempt ended") {
+		if line["status"] != float64(http.StatusGone) {
+			t.Errorf("an attempt got a response that no engine sent for it: %v", line)
+		}
+	}
+}
+
 // TestDeferredPrefillEndsAsNotSent: a deferred attempt is not sent if its client's time budget ends
 // or its engine starts to drain before the release is confirmed.
 func TestDeferredPrefillEndsAsNotSent(t *testing.T) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -199,27 +199,37 @@
 		case http1.Data:
 			c.handler.Data(data)
 		case http1.End:
-			c.endResponse()
+			c.endResponse(consumed < len(b))
 		}
 	}
 }
 
-// endResponse handles the end of a response. It keeps the connection as idle or closes it.
-func (c *Conn) endResponse() {
+// endResponse handles the end of a response. It keeps the connection as idle or closes it. hasStrayBytes is
+// set if more bytes were read with the response. The connection is then closed before Complete is called,
+// because Complete may start a request, which would get them as its response.
+func (c *Conn) endResponse(hasStrayBytes bool) {
 	handler := c.handler
 	c.handler = nil
 	c.pool.Loop.StopTimer(&c.sendDeadline.timer)
-	if c.isReusable() {
-		c.conn.Resume()
-		c.reuse.isIdle = true
-		c.reuse.idleSince = c.pool.Loop.Now()
-		c.pool.addIdle(c)
-	} else {
+	switch {
+	case !c.isReusable():
 		c.close(CloseNotReusable)
+	case hasStrayBytes:
+		c.close(CloseStrayBytes)
+	default:
+		c.becomeIdle()
 	}
 	handler.Complete()
 }
 
+// becomeIdle keeps the connection for another request.
+func (c *Conn) becomeIdle() {
+	c.conn.Resume()
+	c.reuse.isIdle = true
+	c.reuse.idleSince = c.pool.Loop.Now()
+	c.pool.addIdle(c)
+}
+
 // isReusable reports whether the connection may be kept after a complete response. It returns false if
 // the response forbids it, if the request has not been sent completely, or if the engine has a new
 // address or has left the endpoint list.
