Let a connection to an engine rest before it carries another request

Cause: ConnPool.takeIdle gave a connection to the next request as soon as its response had ended. A second response that came after that was taken for the answer to this request. NoInputPending sees bytes that have arrived, not those on their way.

Evidence: in a traced run all 11 foreign answers came on connections that had been idle for 0.04 to 7.6 ms, 3.6 to 8.8 ms after the response before.

Change: connreuse.RestPolicy. The pause counts from the moment of the read, not from the start of the iteration. An engine with all the connections it may have is spared this until it first sends stray bytes. Both servers use it.

TestRequestAndEventsAreForwardedUnchanged sent three requests at once one after the other and expected one connection. It now waits for the rest between them and expects the same numbers of connections: reuse stays, and every test of the platform's server checks the rests that its engines saw.

--- a/control/connreuse/connreuse.go
+++ b/control/connreuse/connreuse.go
@@ -10,6 +10,9 @@
 // allows reuse while the loss rate at similar idle times is low. For requests that may be retried, the
 // maximum rate is higher, and reuse is allowed until losses are observed. For other requests it is
 // lower, and recent successes must be observed first.
+//
+// A RestPolicy guards against the opposite fault: an engine that sends more than it was asked for. It makes a
+// connection rest before it is reused.
 package connreuse
 
 import (
--- a/internal/enginetest/engine.go
+++ b/internal/enginetest/engine.go
@@ -23,10 +23,14 @@
 	Conn           *net.TCPConn
 	Reader         *bufio.Reader // reads what follows the request on Conn
 	ReceivedAt     time.Time
+	Pause          time.Duration // since the previous response on Conn was written; 0 for the first request
+
+	wroteAt time.Time // before the latest Write
 }
 
 // Write writes text to the connection, as part of the response, and reports whether that succeeded.
 func (r *Request) Write(text string) bool {
+	r.wroteAt = time.Now()
 	_, err := io.WriteString(r.Conn, text)
 	return err == nil
 }
@@ -58,12 +62,17 @@
 
 func (e *Engine) serve(conn *net.TCPConn) {
 	reader := bufio.NewReader(conn)
+	var previous *Request
 	for {
 		request, err := readRequest(reader)
 		if err != nil {
 			return
 		}
 		request.Conn = conn
+		if previous != nil {
+			request.Pause = request.ReceivedAt.Sub(previous.wroteAt)
+		}
+		previous = request
 		if !e.record(request)(request) {
 			return
 		}
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -142,6 +142,10 @@
 // Now returns the time since Origin, as of the start of this iteration.
 func (l *Loop) Now() time.Duration { return l.now }
 
+// ReadClock returns the time since Origin at this moment. Now is cheaper, but earlier by as long as the
+// iteration has taken so far.
+func (l *Loop) ReadClock() time.Duration { return time.Since(l.origin) }
+
 // Origin returns the wall-clock time at which Now was zero.
 func (l *Loop) Origin() time.Time { return l.origin }
 
--- a/internal/eventloop/run.go
+++ b/internal/eventloop/run.go
@@ -55,7 +55,7 @@
 			return 0, fmt.Errorf("eventloop: epoll_wait: %w", err)
 		}
 	}
-	l.now = time.Since(l.origin)
+	l.now = l.ReadClock()
 	l.iterations++
 	if n < len(events) && l.timersDue() {
 		// This thread may have been delayed after epoll_wait returned. Events that arrived meanwhile are
@@ -74,7 +74,7 @@
 	if !ok {
 		return -1
 	}
-	ahead := time.Duration(next)*tick - time.Since(l.origin)
+	ahead := time.Duration(next)*tick - l.ReadClock()
 	return int(max((ahead+tick-1)/tick, 0))
 }
 
--- a/internal/openaiserver/engine.go
+++ b/internal/openaiserver/engine.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"martenlock/control"
+	"martenlock/control/connreuse"
 	"martenlock/internal/endpointlist"
 	"martenlock/internal/enginecall"
 	"martenlock/internal/http1"
@@ -14,9 +15,10 @@
 // engine holds the connections to one engine and the KV releases that the engine has not confirmed.
 type engine struct {
 	upstream.ConnPool
-	server   *Server
-	endpoint endpointlist.Endpoint
-	releases kvReleases
+	server     *Server
+	endpoint   endpointlist.Endpoint
+	releases   kvReleases
+	restPolicy connreuse.RestPolicy
 }
 
 // engineTable holds the engines and the options and budget that their connections share.
@@ -36,6 +38,7 @@
 		releases: newKVReleases(),
 		ConnPool: upstream.ConnPool{Loop: s.loop, Options: &s.engines.connOptions, Budget: &s.engines.connBudget},
 	}
+	e.Rest = &e.restPolicy
 	e.OnConnClosed = e.connClosed
 	return e
 }
--- a/internal/platform/endpoint.go
+++ b/internal/platform/endpoint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"martenlock/control"
+	"martenlock/control/connreuse"
 	"martenlock/internal/upstream"
 )
 
@@ -21,7 +22,8 @@
 	startedAt control.Time
 	attempts  map[*attempt]struct{} // attempts in flight that have a connection
 
-	stats engineStats
+	restPolicy connreuse.RestPolicy
+	stats      engineStats
 }
 
 // attemptStarted records an attempt that has been given a connection.
--- a/internal/platform/endpointtable.go
+++ b/internal/platform/endpointtable.go
@@ -44,6 +44,7 @@
 		attempts: map[*attempt]struct{}{},
 		ConnPool: upstream.ConnPool{Loop: s.loop, Options: &s.endpoints.connOptions, Budget: &s.endpoints.connBudget},
 	}
+	e.Rest = &e.restPolicy
 	e.OnConnClosed = e.connClosed
 	s.endpoints.byID[id] = e
 	return e
--- a/internal/platform/forwarding_test.go
+++ b/internal/platform/forwarding_test.go
@@ -9,7 +9,11 @@
 	"testing"
 	"time"
 
+	"martenlock/control"
+	"martenlock/control/connreuse"
 	"martenlock/internal/platform/platformtest"
+	"martenlock/internal/timerwheel"
+	"martenlock/internal/upstream"
 )
 
 // largeEvent is an event of about 8 kB.
@@ -36,6 +40,7 @@
 		for _, e := range h.engines {
 			h.expectForwarded(e, body)
 		}
+		h.waitUntilConnectionsMayBeReused()
 	}
 
 	for _, e := range h.engines {
@@ -45,6 +50,24 @@
 	}
 }
 
+// waitUntilConnectionsMayBeReused waits until all connections to engines are idle and have been so for
+// connreuse.MinIdleTime.
+func (h *harness) waitUntilConnectionsMayBeReused() {
+	h.Helper()
+	h.waitOnLoop("connections to engines to be idle", func() bool {
+		for _, e := range h.server.endpoints.byID {
+			if e.Idle() < e.Open() {
+				return false
+			}
+		}
+		return true
+	})
+	rested := make(chan struct{})
+	timer := &timerwheel.Timer{Fire: func() { close(rested) }}
+	h.runOnLoop(func() { h.server.loop.StartTimer(timer, connreuse.MinIdleTime+time.Millisecond) })
+	<-rested
+}
+
 // expectForwarded fails the test unless the engine's latest request is the client's latest one, with
 // this body.
 func (h *harness) expectForwarded(e *platformtest.Engine, body string) {
@@ -180,3 +203,48 @@
 		t.Errorf("slow client got status %d, %d of %d bytes, complete %v", answer.Code, len(answer.Body), eventCount*len(largeEvent), answer.IsComplete)
 	}
 }
+
+// longRest is a RestPolicy whose rests are longer than the test takes on any machine.
+type longRest struct{ upstream.RestPolicy }
+
+func (p longRest) MinIdleTime(atLimit bool) time.Duration {
+	return 1000 * p.RestPolicy.MinIdleTime(atLimit)
+}
+
+// TestLateSecondAnswerIsNotServedToAnotherClient guards against the answer that a decode engine sends a second time, some
+// milliseconds late, and that was served to the client of the next request on its connection.
+func TestLateSecondAnswerIsNotServedToAnotherClient(t *testing.T) {
+	h := startHarness(t, "r1", "w1")
+	h.runOnLoop(func() {
+		decode := h.server.endpoints.byID[endpointID(h.engines[1])]
+		decode.Rest = longRest{decode.Rest}
+	})
+	answerFor := func(content string) string { return strings.ReplaceAll(platformtest.Stream(), "oqvh", content) }
+	sendSecondAnswer := make(chan struct{})
+	h.engines[1].SetScript(platformtest.ForAttempts(func(r *platformtest.Request) bool {
+		if r.ID == "c1" {
+			r.Write(answerFor("for1"))
+			<-sendSecondAnswer
+			return r.Write(answerFor("for1"))
+		}
+		<-sendSecondAnswer
+		return r.Write(answerFor("for2"))
+	}))
+	h.roundTrip(h.chat("ask"))
+
+	answered := h.sendInBackground(h.chat("ask"))
+	h.waitOnLoop("the second request to have a connection to the decode engine", func() bool {
+		for _, e := range h.server.exchanges.ByID {
+			if e.attempt != nil && e.attempt.role == control.RoleDecode && e.attempt.conn != nil {
+				return true
+			}
+		}
+		return false
+	})
+	close(sendSecondAnswer)
+
+	answer := <-answered
+	if answer.Code != http.StatusOK || !strings.Contains(answer.Body, "for2") || strings.Contains(answer.Body, "for1") {
+		t.Errorf("the second client was answered %d with %q", answer.Code, answer.Body)
+	}
+}
--- a/internal/platform/harness_test.go
+++ b/internal/platform/harness_test.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"martenlock/control"
+	"martenlock/control/connreuse"
 	"martenlock/internal/platform/platformtest"
 )
 
@@ -112,16 +113,31 @@
 	return h
 }
 
-// stop stops the server's loop, and fails the test if Run returned an error or a handler panicked.
+// stop stops the server's loop, and fails the test if Run returned an error, a handler panicked, or a
+// connection to an engine was reused too soon.
 func (h *harness) stop() {
 	h.Helper()
 	h.server.loop.Post(h.server.loop.Stop)
 	h.expectFinished()
+	h.expectConnectionsRested()
 	if h.server.counters.panics > 0 {
 		h.Errorf("%d panics", h.server.counters.panics)
 	}
 }
 
+// expectConnectionsRested fails the test if an engine received a request on a connection within
+// connreuse.MinIdleTime after it had written a response on it.
+func (h *harness) expectConnectionsRested() {
+	h.Helper()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range h.requests {
+		if r.Pause > 0 && r.Pause < connreuse.MinIdleTime {
+			h.Errorf("%s %s %s: the connection was reused after %v", r.Engine.ID, r.Method, r.ID, r.Pause)
+		}
+	}
+}
+
 // expectFinished waits until Run has returned, and fails the test if it returned an error.
 func (h *harness) expectFinished() {
 	h.Helper()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -55,11 +55,14 @@
 func (c *Conn) Use() ConnUse {
 	use := ConnUse{Number: c.number, Requests: c.requests, IdleFor: c.reuse.idleFor}
 	if c.reuse.isIdle {
-		use.IdleFor = c.pool.Loop.Now() - c.reuse.idleSince
+		use.IdleFor = c.idleFor(c.pool.Loop.Now())
 	}
 	return use
 }
 
+// idleFor returns how long an idle connection has been idle at a time on the loop's clock.
+func (c *Conn) idleFor(now time.Duration) time.Duration { return max(now-c.reuse.idleSince, 0) }
+
 // isIdle reports whether the connection waits for a request.
 func (c *Conn) isIdle() bool { return c.handler == nil && !c.closed && c.timer.Running() }
 
@@ -226,7 +229,7 @@
 func (c *Conn) becomeIdle() {
 	c.conn.Resume()
 	c.reuse.isIdle = true
-	c.reuse.idleSince = c.pool.Loop.Now()
+	c.reuse.idleSince = c.pool.Loop.ReadClock() // Now may be earlier than the response
 	c.pool.addIdle(c)
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"sort"
+	"time"
 
 	"martenlock/internal/eventloop"
 	"martenlock/internal/http1"
@@ -15,6 +17,7 @@
 	Loop    *eventloop.Loop
 	Options *Options
 	Budget  *Budget
+	Rest    RestPolicy // nil allows the reuse of a connection at once
 	// Addr is the engine's address. A connection to an earlier address is closed instead of becoming
 	// idle. Connections that are already idle must be closed with CloseIdle when Addr changes.
 	Addr netip.AddrPort
@@ -61,21 +64,21 @@
 	return c, nil
 }
 
-// takeIdle returns the most recently used idle connection that may carry the request, or nil. It
-// closes connections on which bytes or an end of stream have arrived since their last response, and
-// those that the policy does not allow even for an idempotent request.
+// takeIdle returns the most recently used idle connection that may carry the request, or nil. It skips
+// connections that must still rest. It closes connections on which bytes or an end of stream have
+// arrived since their last response, and those that the policy does not allow even for an idempotent
+// request.
 func (p *ConnPool) takeIdle(notIdempotent bool) *Conn {
 	policy := p.Options.ReusePolicy
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
+	for last := p.countRested() - 1; last >= 0; last-- {
 		c := p.idle[last]
-		c.reuse.idleFor = p.Loop.Now() - c.reuse.idleSince
+		c.reuse.idleFor = c.idleFor(p.Loop.Now())
 		hasNoInput := c.conn.NoInputPending()
 		isAllowed := policy == nil || policy.MayReuse(c.reuse.idleFor, notIdempotent)
 		if hasNoInput && !isAllowed && notIdempotent {
 			return nil // an idempotent request may still use the connection
 		}
-		p.idle = p.idle[:last]
+		p.idle = slices.Delete(p.idle, last, last+1)
 		p.Loop.StopTimer(&c.timer)
 		if hasNoInput && isAllowed {
 			c.reuse.isIdle = false
@@ -88,9 +91,28 @@
 	return nil
 }
 
+// countRested returns the number of connections that have been idle for long enough to carry another
+// request. They are the first ones in idle.
+func (p *ConnPool) countRested() int {
+	if p.Rest == nil {
+		return len(p.idle)
+	}
+	count := p.countIdleFor(p.Rest.MinIdleTime(false))
+	if count > 0 || len(p.conns) < p.Options.MaxPerEngine {
+		return count
+	}
+	return min(p.countIdleFor(p.Rest.MinIdleTime(true)), 1)
+}
+
+// countIdleFor returns the number of connections that have been idle for at least minIdleTime.
+func (p *ConnPool) countIdleFor(minIdleTime time.Duration) int {
+	now := p.Loop.Now()
+	return sort.Search(len(p.idle), func(i int) bool { return p.idle[i].idleFor(now) < minIdleTime })
+}
+
 // dial starts a new connection if the limits of the pool and the budget allow it.
 func (p *ConnPool) dial() (*Conn, error) {
-	if len(p.conns) >= p.Options.MaxPerEngine || !p.Budget.ensureCapacity(p.Options.MaxTotal) {
+	if !p.ensureCapacity() || !p.Budget.ensureCapacity(p.Options.MaxTotal) {
 		return nil, ErrNoConn
 	}
 	c := &Conn{pool: p, parser: http1.NewResponseParser(&p.Options.Limits)}
@@ -112,6 +134,15 @@
 	return c, nil
 }
 
+// ensureCapacity reports whether one more connection is within Options.MaxPerEngine. If necessary, it
+// closes the connection that has been idle for longest.
+func (p *ConnPool) ensureCapacity() bool {
+	if len(p.conns) >= p.Options.MaxPerEngine && len(p.idle) > 0 {
+		p.idle[0].closeIdle(CloseEvicted)
+	}
+	return len(p.conns) < p.Options.MaxPerEngine
+}
+
 // addIdle keeps a connection for the next request.
 func (p *ConnPool) addIdle(c *Conn) {
 	p.idle = append(p.idle, c)
@@ -128,6 +159,9 @@
 func (p *ConnPool) connClosed(c *Conn, reason CloseReason) {
 	delete(p.conns, c)
 	p.Budget.open--
+	if reason == CloseStrayBytes && p.Rest != nil {
+		p.Rest.RecordStrayBytes()
+	}
 	if p.OnConnClosed != nil {
 		p.OnConnClosed(reason, c.Use())
 	}
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -13,6 +13,17 @@
 	Observe(idleFor, elapsed time.Duration, lost bool)
 }
 
+// RestPolicy decides how long the connections to one engine must be idle before they carry another
+// request.
+type RestPolicy interface {
+	// MinIdleTime returns how long a connection must have been idle. atLimit is set if all connections
+	// that the engine may have are open, and none of them has been idle for MinIdleTime(false). The one
+	// that has been idle for longest is then closed for a new one if it may not be reused either.
+	MinIdleTime(atLimit bool) time.Duration
+	// RecordStrayBytes is called when a connection is closed because of bytes that belong to no request.
+	RecordStrayBytes()
+}
+
 // reuse holds what Options.ReusePolicy is told about a request on a reused connection. Times are on
 // the loop's clock.
 type reuse struct {
--- a/internal/upstream/strayresponse_test.go
+++ b/internal/upstream/strayresponse_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"martenlock/internal/enginetest"
+	"martenlock/internal/timerwheel"
 )
 
 // recordedBody is a recordedResponse that also collects the content. onComplete, if set, is called on the
@@ -86,3 +88,114 @@
 		t.Errorf("%d connections, want 2: the first one has carried a stray response", engine.Accepted())
 	}
 }
+
+// fixedRest is a RestPolicy with the same rest at and below the limit. It counts stray bytes.
+type fixedRest struct {
+	minIdleTime time.Duration
+	stray       int
+}
+
+func (p *fixedRest) MinIdleTime(bool) time.Duration { return p.minIdleTime }
+func (p *fixedRest) RecordStrayBytes()              { p.stray++ }
+
+// TestLateStrayResponseIsNotTakenForTheNextOne guards against a second response that arrives after the
+// connection was taken for the next request, and is taken for the response to that request.
+func TestLateStrayResponseIsNotTakenForTheNextOne(t *testing.T) {
+	f := newFixture(t, Options{IdleTimeout: time.Minute, MaxPerEngine: 4})
+	sendStray := make(chan struct{})
+	engine := listenNumbered(t, func(conn net.Conn, _ int) {
+		io.WriteString(conn, response("own"))
+		<-sendStray
+		io.WriteString(conn, response("stray"))
+	})
+	pool := f.newPool(engine.Addr())
+	rest := &fixedRest{minIdleTime: time.Minute}
+	pool.Rest = rest
+	strayClosed := make(chan struct{})
+	pool.OnConnClosed = func(reason CloseReason, _ ConnUse) {
+		if reason == CloseStrayBytes && rest.stray == 2 {
+			close(strayClosed)
+		}
+	}
+	start := func() *recordedBody {
+		handler := newRecordedBody()
+		f.loop.Do(func() {
+			if _, err := pool.Start(handler, getRequest, nil, false); err != nil {
+				t.Error(err)
+			}
+		})
+		return handler
+	}
+	f.expectComplete(start().recordedResponse)
+
+	second := start()
+	close(sendStray)
+
+	f.expectComplete(second.recordedResponse)
+	if string(second.body) != "own" {
+		t.Errorf("the second request got %q, want its own response", second.body)
+	}
+	<-strayClosed // the stray bytes on both connections are recorded
+}
+
+// TestConnectionReusedAfterItsRest: a connection that has been idle for the time that the RestPolicy wants is
+// reused, and until then a request gets another one.
+func TestConnectionReusedAfterItsRest(t *testing.T) {
+	f := newFixture(t, Options{IdleTimeout: time.Minute, MaxPerEngine: 4})
+	rest := &fixedRest{minIdleTime: 20 * time.Millisecond}
+	f.pool.Rest = rest
+	f.request(false)
+	f.expectEngineEvents("connection", "request")
+	rested := make(chan struct{})
+	timer := &timerwheel.Timer{Fire: func() { close(rested) }}
+	f.loop.Do(func() { f.loop.StartTimer(timer, rest.minIdleTime) })
+	<-rested
+
+	f.request(false)
+
+	f.expectEngineEvents("request")
+	f.loop.Do(func() { rest.minIdleTime = time.Minute })
+	f.request(false)
+	f.expectEngineEvents("connection", "request")
+}
+
+// restUntilLimit is a RestPolicy without a rest at the limit.
+type restUntilLimit struct{ fixedRest }
+
+func (p *restUntilLimit) MinIdleTime(atLimit bool) time.Duration {
+	if atLimit {
+		return 0
+	}
+	return p.minIdleTime
+}
+
+// TestConnectionAtLimitReusedOrReplaced: if all connections to an engine are open and must still rest, the one
+// that has been idle for longest is reused if the RestPolicy allows that at the limit, or else replaced.
+func TestConnectionAtLimitReusedOrReplaced(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		rest RestPolicy
+		want map[string]int
+	}{
+		{"reused", &restUntilLimit{fixedRest{minIdleTime: time.Minute}}, map[string]int{"request": 1}},
+		{"replaced", &fixedRest{minIdleTime: time.Minute}, map[string]int{"gone": 1, "connection": 1, "request": 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, Options{IdleTimeout: time.Minute, MaxPerEngine: 2})
+			f.pool.Rest = c.rest
+			f.request(false)
+			f.request(false)
+			f.expectEngineEvents("connection", "request", "connection", "request")
+
+			f.request(false)
+
+			seen := map[string]int{}
+			for seen["request"] < c.want["request"] || seen["gone"] < c.want["gone"] {
+				seen[<-f.engineEvents]++
+			}
+			if !maps.Equal(seen, c.want) {
+				t.Errorf("events at the engine: %v, want %v", seen, c.want)
+			}
+		})
+	}
+}
