Put back reasons and numbers that comments on constants and rules had lost

Left out: that unresponsiveness ejects until two attempts succeed (one is enough by the code), and that prefill shares are skewed as far as there are reserves (the code has no such bound).

Comments only; no code changed.

--- a/control/admission/queue.go
+++ b/control/admission/queue.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// pollInterval is the maximum time between two polls while requests wait. It is also the minimum
-	// RetryAfter.
+	// pollInterval is the maximum time between two polls while requests wait. It is short compared with any
+	// latency objective. It is also the minimum RetryAfter.
 	pollInterval = 50 * time.Millisecond
 	// unitTokensAlpha is the weight of a newly admitted unit in Queue.meanUnitTokens.
 	unitTokensAlpha = 0.1
--- a/control/connreuse/connreuse.go
+++ b/control/connreuse/connreuse.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	// bucketCount is the number of buckets of idle time.
+	// bucketCount is the number of buckets of idle time. The usual idle time-outs are in different buckets;
+	// the last one begins at 82 s.
 	bucketCount = 8
 	// bucketGrowth is the ratio between the upper bounds of successive buckets. The last bucket has no
 	// upper bound.
@@ -31,7 +32,8 @@
 	// firstBucketBound is the upper bound of the first bucket.
 	firstBucketBound = 20 * time.Millisecond
 
-	// decayTime is the time constant of the exponential decay of the counts.
+	// decayTime is the time constant of the exponential decay of the counts. Losses are forgotten, and
+	// successes must be renewed.
 	decayTime = 10 * time.Second
 
 	// priorSuccesses are added to the counted requests, so that a single early loss does not stop reuse.
@@ -42,7 +44,7 @@
 	// maxLossRateNotIdempotent is the maximum loss rate for requests that must not be retried.
 	maxLossRateNotIdempotent = 0.02
 	// priorLosses are added to the counted losses for requests that must not be retried. Because of them,
-	// reuse requires recent successes.
+	// reuse requires recent successes: 17, given priorSuccesses and maxLossRateNotIdempotent.
 	priorLosses = 0.5
 
 	// staleCloseWindow is the time after sending a request within which the connection must end for the
--- a/control/kvrelease/kvrelease.go
+++ b/control/kvrelease/kvrelease.go
@@ -18,7 +18,7 @@
 
 const (
 	// hedgeShare is the delay before the next engine is called as well, as a fraction of the retention
-	// limit.
+	// limit. It is small, so that several engines are called within the limit.
 	hedgeShare = 0.12
 	// callTimeoutShare is the time-out of a call, as a fraction of the retention limit.
 	callTimeoutShare = 0.25
--- a/control/membership/watch.go
+++ b/control/membership/watch.go
@@ -5,9 +5,11 @@
 // Time-outs of the connections to discovery. A watch is a response of discovery that never ends. It carries
 // messages, and an empty line as a heartbeat after each HeartbeatInterval.
 //
-// The platform expects the router to know a change within 6 s after discovery has it and can be reached. The
+// The platform expects the router to know a change within 6 s after discovery has it and can be reached, and
+// at once if discovery comes back from an outage, so that the drain grace leaves little time for delays. The
 // time-outs must be short enough for that even if two calls in a row become unresponsive. Each of them takes
-// WatchTimeout and a backoff.
+// WatchTimeout and a backoff, 5.2 s together: a watch becomes unresponsive, the next call hangs after the
+// head of its response, and the one after that is answered.
 const (
 	// HeartbeatInterval is how often discovery sends an empty line on a watch.
 	HeartbeatInterval = 2 * time.Second
--- a/internal/config/class.go
+++ b/internal/config/class.go
@@ -49,7 +49,8 @@
 }
 
 // defaultUnaryObjective returns the default of whole_aim: three quarters of the deadline, or the objective
-// of streams if that is longer.
+// of streams if that is longer. The first byte of an answer that is not streamed comes later than that of a
+// stream, but must come before the deadline.
 func defaultUnaryObjective(stream *control.Class) time.Duration {
 	return max(stream.TTFTObjective, stream.Deadline*3/4)
 }
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -13,7 +13,7 @@
 	// digits of an int64 and CRLF.
 	maxChunkSizeLine = 16 + 2
 	// maxCopiedBody is the size in bytes up to which a body is copied into the output buffer of the
-	// head. Larger bodies are sent without a copy.
+	// head, so that one system call sends both. Larger bodies are sent without a copy.
 	maxCopiedBody = 16 << 10
 )
 
--- a/internal/openaiserver/embeddingcache.go
+++ b/internal/openaiserver/embeddingcache.go
@@ -49,7 +49,7 @@
 		Weigher: func(_ coalesce.Key, entry openai.EmbeddingResult) uint32 {
 			return uint32(len(entry.Embedding) + cacheEntryOverheadBytes)
 		},
-		Executor: func(fn func()) { fn() }, // runs evictions at once on the event loop, not on another goroutine
+		Executor: func(fn func()) { fn() }, // runs evictions at once on the event loop, not on another goroutine, so that they can't fall behind
 	})
 }
 
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -25,7 +25,8 @@
 	isGet bool // GET or HEAD
 }
 
-// Bounds of clients' requests and of engines' responses.
+// Bounds of clients' requests and of engines' responses. Heads in use are well below 1 KiB, and larger ones
+// would only cost memory.
 const (
 	maxLineBytes        = 8 << 10
 	maxHeadBytes        = 16 << 10
--- a/internal/platform/endpointlist.go
+++ b/internal/platform/endpointlist.go
@@ -79,7 +79,8 @@
 }
 
 // endpoint converts the entry to an endpoint of the membership view. Only a ready engine needs a valid
-// address and kind. In the entry of an engine that drains or is gone, both may be invalid.
+// address and kind. In the entry of an engine that drains or is gone, both may be invalid: the end of an
+// engine must not be missed because of another field.
 func (e *endpointEntry) endpoint(settings *platformsettings.Settings, toControlTime controlTimeFunc) (membership.Endpoint, error) {
 	state, err := e.state()
 	if err != nil {
--- a/internal/platform/warninglimiter.go
+++ b/internal/platform/warninglimiter.go
@@ -3,7 +3,8 @@
 import "time"
 
 const (
-	// warningInterval is the shortest time between two log lines of one kind of warning.
+	// warningInterval is the shortest time between two log lines of one kind of warning. A condition that
+	// lasts for hours must not fill the log.
 	warningInterval = 10 * time.Second
 	// maxWarningKinds bounds the size of warningLimiter.lastLogged, because a peer's responses can
 	// make arbitrarily many kinds of warnings. Further kinds are not logged.
--- a/internal/serve/log.go
+++ b/internal/serve/log.go
@@ -17,7 +17,7 @@
 
 const (
 	ringBufferLines = 10000                 // capacity of the log's ring buffer; if it is full, lines are dropped
-	logPollInterval = 10 * time.Millisecond // time between two checks of the ring buffer for new lines
+	logPollInterval = 10 * time.Millisecond // time between two checks of the ring buffer for new lines; bounds how late a line is written
 )
 
 // logFile is the log and its destination. A goroutine takes lines from a ring buffer and writes them, so that the
