--- a/internal/platform/platformtest/protocol.go
+++ b/internal/platform/platformtest/protocol.go
@@ -11,12 +11,15 @@
 	"testing"
 )
 
+// firstToken is the content of FirstEvent.
+const firstToken = "oqvh"
+
 // Parts of a streamed response.
 const (
 	// StreamHead is the head of a streamed response.
 	StreamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 	// FirstEvent is the first event of a stream.
-	FirstEvent = `data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}` + "\n\n"
+	FirstEvent = `data: {"choices":[{"index":0,"delta":{"content":"` + firstToken + `"},"finish_reason":null}]}` + "\n\n"
 	// LastToken is the event with the last token and the finish reason.
 	LastToken = `data: {"choices":[{"index":0,"delta":{"content":"x"},"finish_reason":"stop"}]}` + "\n\n"
 	// DoneEvent is the event that ends a stream.
@@ -41,6 +44,14 @@
 	return TruncatedStream() + Chunk(LastToken) + Chunk(DoneEvent) + LastChunk
 }
 
+// EventsWith returns Events with another first token.
+func EventsWith(token string) string { return strings.Replace(Events, firstToken, token, 1) }
+
+// StreamWith returns a complete streamed response of EventsWith(token).
+func StreamWith(token string) string {
+	return StreamHead + Chunk(EventsWith(token)) + LastChunk
+}
+
 // TruncatedStream returns a streamed response up to its first event.
 func TruncatedStream() string { return StreamHead + Chunk(FirstEvent) }
 
