Expire small requests before batches start, so that no expired one is sent

Cause: Batcher.Poll started the due batches first and then expired requests, also those that it had just put into a batch. The server deleted the expired member and startBatch used it, in a timer or a deferred function, where a panic ends the process.

Evidence: the batcher's property test now checks that no id is in a batch and expired, that none waits beyond its deadline, and draws deadlines that have passed. On the old code it fails with its first draw: "request 2 is sent in batch 2 and has expired". The new test on sockets ends with SIGSEGV in batch.go.

Change: a request is among the deadlines from its arrival, and Poll expires first. A batch has no expired request by construction; one whose time is up while it waits is rejected at its deadline instead of being sent.

--- a/control/batching/batcher.go
+++ b/control/batching/batcher.go
@@ -36,7 +36,7 @@
 	waitingQueues       []*requestQueue // with waiting requests, in order of arrival
 	batches             map[BatchID]*sentBatch
 	requests            map[RequestID]*trackedRequest
-	deadlines           *indexedheap.Heap[*trackedRequest] // of requests in batches of more than one
+	deadlines           *indexedheap.Heap[*trackedRequest] // of requests that wait or are in batches of more than one
 	lastBatchID         BatchID
 	meanDurationSeconds ewma.Average[float64] // of a batch
 }
@@ -109,6 +109,7 @@
 	}
 	added := &trackedRequest{Request: request, queue: queue, heapIndex: indexedheap.NoIndex}
 	b.requests[request.ID] = added
+	b.deadlines.Push(added)
 	queue.waiting = append(queue.waiting, added)
 	queue.waitingItems += request.Items
 	queue.waitingTokens += request.Tokens
@@ -128,12 +129,13 @@
 	return now.Add(b.settings.MaxWait)
 }
 
-// Poll returns the batches to send now and the requests that have expired. It must be called after every
-// event, and at NextPoll.
+// Poll returns the batches to send now and the requests that have expired. Expired requests are removed
+// first, so that no request is returned as both. Poll must be called after every event, and at NextPoll.
 func (b *Batcher) Poll(now control.Time) PollResult {
+	expired := b.expire(now)
 	return PollResult{
 		Batches: b.startDueBatches(now),
-		Expired: b.expire(now),
+		Expired: expired,
 	}
 }
 
@@ -197,8 +199,8 @@
 		request.batch = batch.ID
 		batch.Requests = append(batch.Requests, request.ID)
 		batch.Deadline = max(batch.Deadline, request.Deadline)
-		if hasSeveralRequests { // package control enforces the deadline of a batch of one
-			b.deadlines.Push(request)
+		if !hasSeveralRequests { // package control enforces the deadline of a batch of one
+			b.deadlines.Remove(request.heapIndex)
 		}
 	}
 	queue.outstandingBatches++
@@ -241,8 +243,8 @@
 	}
 }
 
-// expire cancels and returns the requests whose deadlines have passed, earliest first. It considers only
-// requests in batches of more than one.
+// expire cancels and returns the requests whose deadlines have passed, earliest first. It does not consider
+// requests in batches of one.
 func (b *Batcher) expire(now control.Time) []RequestID {
 	var expired []RequestID
 	for b.deadlines.Len() > 0 && b.deadlines.Min().Deadline <= now {
--- a/control/batching/batcher_test.go
+++ b/control/batching/batcher_test.go
@@ -67,7 +67,7 @@
 		Items:     rapid.IntRange(1, 4).Draw(m.t, "items"),
 		Tokens:    rapid.Float64Range(0, 50).Draw(m.t, "tokens"),
 		Objective: m.now.Add(time.Duration(rapid.IntRange(0, 60).Draw(m.t, "objective")) * time.Millisecond),
-		Deadline:  m.now.Add(time.Duration(rapid.IntRange(1, 200).Draw(m.t, "deadline")) * time.Millisecond),
+		Deadline:  m.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(m.t, "deadline")) * time.Millisecond),
 	}
 	key := Key{byte(rapid.IntRange(0, 1).Draw(m.t, "key"))}
 	m.requests[m.lastID] = &expectedRequest{Request: request, key: key, arrivedAt: m.now}
@@ -126,9 +126,16 @@
 	}
 }
 
-// poll polls the batcher and checks the batches and the expired requests.
+// poll polls the batcher and checks the batches and the expired requests. A request must not be in both.
 func (m *model) poll() {
 	result := m.batcher.Poll(m.now)
+	for _, batch := range result.Batches {
+		for _, id := range batch.Requests {
+			if slices.Contains(result.Expired, id) {
+				m.t.Fatalf("request %d is sent in batch %d and has expired", id, batch.ID)
+			}
+		}
+	}
 	for _, batch := range result.Batches {
 		m.checkSent(batch)
 		m.batches[batch.ID] = batch.Requests
@@ -163,7 +170,7 @@
 	}
 }
 
-// checkWaiting checks that no request waits for too long, or while an endpoint is free.
+// checkWaiting checks that no request waits for too long, beyond its deadline, or while an endpoint is free.
 func (m *model) checkWaiting() {
 	outstanding := map[Key]int{}
 	for _, ids := range m.batches {
@@ -175,12 +182,12 @@
 		}
 		latest := request.arrivedAt.Add(m.settings.MaxWait)
 		hasFreeEndpoint := outstanding[request.key] < max(m.endpoints/m.settings.Routers, 1)
-		if m.now >= latest || m.now >= request.Objective || hasFreeEndpoint {
-			m.t.Fatalf("request %d has waited since %v, objective %v, %d batches outstanding, now %v",
-				request.ID, request.arrivedAt, request.Objective, outstanding[request.key], m.now)
+		if m.now >= latest || m.now >= request.Objective || m.now >= request.Deadline || hasFreeEndpoint {
+			m.t.Fatalf("request %d has waited since %v, objective %v, deadline %v, %d batches outstanding, now %v",
+				request.ID, request.arrivedAt, request.Objective, request.Deadline, outstanding[request.key], m.now)
 		}
-		if next, ok := m.batcher.NextPoll(); !ok || next > latest {
-			m.t.Fatalf("NextPoll returned %v, %v, want at most %v", next, ok, latest)
+		if next, ok := m.batcher.NextPoll(); !ok || next > min(latest, request.Deadline) {
+			m.t.Fatalf("NextPoll returned %v, %v, want at most %v", next, ok, min(latest, request.Deadline))
 		}
 	}
 }
@@ -211,8 +218,9 @@
 }
 
 // TestEachRequestBatchedOnceWithinLimits: for any sequence of events each request is in at most one batch
-// and ends once. Batches are within the limits and have one key. No request waits for too long, or while an
-// endpoint is free. No state is left at the end.
+// and ends once. It guards against a request that is sent in a batch although it has expired, whose member
+// the server no longer knew. Batches are within the limits and have one key. No request waits for too long,
+// beyond its deadline, or while an endpoint is free. No state is left at the end.
 func TestEachRequestBatchedOnceWithinLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
--- a/control/batching/batching.go
+++ b/control/batching/batching.go
@@ -56,9 +56,9 @@
 // PollResult is the result of Batcher.Poll.
 type PollResult struct {
 	Batches []Batch // to be sent now
-	// Expired are requests whose deadlines have passed before their batches ended, earliest deadline first.
-	// The batcher has removed them, and the caller must reject them. Requests that wait for a batch, or are in
-	// a batch of one, do not expire.
+	// Expired are requests whose deadlines have passed before their batches were sent or ended, earliest
+	// deadline first. The batcher has removed them, and the caller must reject them. None of them is in
+	// Batches. Requests in a batch of one do not expire.
 	Expired []RequestID
 }
 
--- a/internal/openaiserver/batch.go
+++ b/internal/openaiserver/batch.go
@@ -147,8 +147,8 @@
 // clientWritable implements operation. It has no effect because the answer is not streamed.
 func (m *batchMember) clientWritable() {}
 
-// poll starts the batches that are due. It rejects members whose deadlines have passed while the batches that they
-// share with others are in flight.
+// poll starts the batches that are due. It rejects members whose deadlines have passed while they waited, or while the
+// batches that they share with others are in flight.
 func (b *batchScheduler) poll() {
 	result := b.batcher.Poll(b.pool.server.now())
 	for _, id := range result.Expired {
--- a/internal/openaiserver/batch_test.go
+++ b/internal/openaiserver/batch_test.go
@@ -243,3 +243,39 @@
 
 	h.engine("e1").SetFault(fakeengine.Fault{})
 }
+
+// TestRequestsThatExpireWhileTheyWaitAreRejected guards against a batch with members whose deadlines had passed before it
+// was sent: the router had forgotten them, and one client with little time ended the process.
+func TestRequestsThatExpireWhileTheyWaitAreRejected(t *testing.T) {
+	h := startHarness(t, embeddingSpecs(1), longBatchWait...)
+	for _, test := range []struct {
+		name     string
+		deadline time.Duration
+	}{
+		{"before they can wait", 40 * ms}, // less than answer_margin
+		{"while they wait", 100 * ms},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			engine := h.engine("e1")
+			engine.SetFault(fakeengine.Fault{PrefillDelay: 300 * ms})
+			defer engine.SetFault(fakeengine.Fault{})
+			var clients sync.WaitGroup
+			h.occupyEngines(&clients, 1)
+			responses := make([]response, 3)
+			for i := range responses {
+				r := request{path: embeddingsPath, class: "search", deadline: test.deadline, body: embeddingBody(fmt.Sprint("late ", i))}
+				clients.Go(func() { responses[i] = h.send(r) })
+			}
+			clients.Wait()
+
+			for i, received := range responses {
+				if !received.rejected() {
+					t.Errorf("request %d was not rejected: %v", i, received)
+				}
+			}
+			if received := h.sendEmbeddings(embeddingBody("afterwards")); !received.served() {
+				t.Errorf("a later request was not served: %v", received)
+			}
+		})
+	}
+}
