openaiserver tests: one function starts a router with a single engine

Need: the test of rests wrote again how the test of answers that end with their connection starts its router. One function serves both, and stops the router when the test ends.

--- a/internal/openaiserver/clientconn_test.go
+++ b/internal/openaiserver/clientconn_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"regexp"
 	"runtime"
 	"strconv"
@@ -20,9 +19,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"martenlock/internal/demo"
 	"martenlock/internal/enginetest"
-	"martenlock/internal/serve"
 )
 
 // postEmbeddings returns an embeddings request in HTTP/1.1. fields holds additional header fields, each ending with CRLF.
@@ -305,14 +302,7 @@
 // client gets the complete answer even if it starts to read after the engine has closed the connection.
 func TestAnswerDelimitedByConnectionCloseIsComplete(t *testing.T) {
 	engine := startClosingEngine(t)
-	dir := t.TempDir()
-	configPath := filepath.Join(dir, "m.ini")
-	writeFile(t, filepath.Join(dir, "nodes.ini"), fmt.Sprintf("[node a]\npool = chat\nkind = mixed\naddress = %s\n", engine.Addr()))
-	writeFile(t, configPath, fmt.Sprintf(demo.Settings, "127.0.0.1:0", 1, "error"))
-	service, err := serve.Start(configPath, io.Discard)
-	if err != nil {
-		t.Fatal(err)
-	}
+	service := startServiceWithEngine(t, "chat", engine.Addr())
 	httpResponse, err := http.Post("http://"+service.Router.Addr()+chatPath, "application/json",
 		strings.NewReader(`{"model":"demo-chat","stream":true,"messages":[{"role":"user","content":"x"}]}`))
 	if err != nil {
@@ -336,10 +326,6 @@
 		t.Errorf("received %d of %d events, error %v; want all events and [DONE]", received, sent, err)
 	}
 	httpResponse.Body.Close()
-	err = service.Stop()
-	if err != nil {
-		t.Error(err)
-	}
 }
 
 // closingEngine streams an answer until mustEnd is set. It then ends the answer by closing the connection.
--- a/internal/openaiserver/connreuse_test.go
+++ b/internal/openaiserver/connreuse_test.go
@@ -2,17 +2,13 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"martenlock/control/connreuse"
-	"martenlock/internal/demo"
 	"martenlock/internal/enginetest"
-	"martenlock/internal/serve"
 )
 
 // embeddingResponse is an engine's response to an embeddings request with one input.
@@ -36,14 +32,7 @@
 		return r.Write(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
 			len(embeddingResponse), embeddingResponse))
 	})
-	dir := t.TempDir()
-	configPath := filepath.Join(dir, "m.ini")
-	writeFile(t, filepath.Join(dir, "nodes.ini"), fmt.Sprintf("[node a]\npool = embeddings\nkind = mixed\naddress = %s\n", engine.Addr()))
-	writeFile(t, configPath, fmt.Sprintf(demo.Settings, "127.0.0.1:0", 1, "error"))
-	service, err := serve.Start(configPath, io.Discard)
-	if err != nil {
-		t.Fatal(err)
-	}
+	service := startServiceWithEngine(t, "embeddings", engine.Addr())
 	const wantReused = 10
 	deadline := time.Now().Add(20 * time.Second)
 	for number := 0; len(pausesOf(engine)) < wantReused && time.Now().Before(deadline); number++ {
@@ -67,7 +56,4 @@
 			t.Errorf("a connection was reused %v after a response, want at least %v", pause, connreuse.MinIdleTime)
 		}
 	}
-	if err := service.Stop(); err != nil {
-		t.Error(err)
-	}
 }
--- a/internal/openaiserver/harness_test.go
+++ b/internal/openaiserver/harness_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +20,7 @@
 	"martenlock/internal/fakeengine"
 	"martenlock/internal/invariant"
 	"martenlock/internal/openaiserver"
+	"martenlock/internal/serve"
 )
 
 const ms = time.Millisecond
@@ -231,6 +235,26 @@
 	return specs
 }
 
+// startServiceWithEngine starts a router with the demo's settings and one colocated engine, in the named pool. The router
+// is stopped when the test ends, and the test fails if that returns an error.
+func startServiceWithEngine(t *testing.T, pool string, engine netip.AddrPort) *serve.Service {
+	t.Helper()
+	dir := t.TempDir()
+	configPath := filepath.Join(dir, "m.ini")
+	writeFile(t, filepath.Join(dir, "nodes.ini"), fmt.Sprintf("[node a]\npool = %s\nkind = mixed\naddress = %s\n", pool, engine))
+	writeFile(t, configPath, fmt.Sprintf(demo.Settings, "127.0.0.1:0", 1, "error"))
+	service, err := serve.Start(configPath, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := service.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	return service
+}
+
 func writeFile(t *testing.T, path, text string) {
 	t.Helper()
 	err := os.WriteFile(path, []byte(text), 0o644)
