upstream: one field tells whether a connection is idle

Need: since connections know how long they have been idle, two things told it: a flag, and a running timer without a handler. Budget now asks the flag too.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -64,7 +64,7 @@
 func (c *Conn) idleFor(now time.Duration) time.Duration { return max(now-c.reuse.idleSince, 0) }
 
 // isIdle reports whether the connection waits for a request.
-func (c *Conn) isIdle() bool { return c.handler == nil && !c.closed && c.timer.Running() }
+func (c *Conn) isIdle() bool { return c.reuse.isIdle && !c.closed }
 
 // send sends the request over an established connection.
 func (c *Conn) send() {
