--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -159,14 +159,26 @@
 func (p *ConnPool) connClosed(c *Conn, reason CloseReason) {
 	delete(p.conns, c)
 	p.Budget.open--
-	if reason == CloseStrayBytes && p.Rest != nil {
-		p.Rest.RecordStrayBytes()
+	if reason == CloseStrayBytes {
+		p.recordStrayBytes(c)
 	}
 	if p.OnConnClosed != nil {
 		p.OnConnClosed(reason, c.Use())
 	}
 }
 
+// recordStrayBytes tells the RestPolicy of stray bytes on a connection.
+func (p *ConnPool) recordStrayBytes(c *Conn) {
+	if p.Rest == nil {
+		return
+	}
+	delay := time.Duration(0)
+	if c.reuse.isIdle {
+		delay = c.idleFor(p.Loop.Now())
+	}
+	p.Rest.RecordStrayBytes(delay)
+}
+
 // CloseIdle closes the idle connections. It must be called when the engine has left the endpoint list,
 // restarted or changed its address.
 func (p *ConnPool) CloseIdle() {
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -21,7 +21,8 @@
 	// that has been idle for longest is then closed for a new one if it may not be reused either.
 	MinIdleTime(atLimit bool) time.Duration
 	// RecordStrayBytes is called when a connection is closed because of bytes that belong to no request.
-	RecordStrayBytes()
+	// delay is the time since the end of the response before them, 0 if they were read together.
+	RecordStrayBytes(delay time.Duration)
 }
 
 // reuse holds what Options.ReusePolicy is told about a request on a reused connection. Times are on
--- a/internal/upstream/strayresponse_test.go
+++ b/internal/upstream/strayresponse_test.go
@@ -65,6 +65,8 @@
 		io.WriteString(conn, text)
 	})
 	pool := f.newPool(engine.Addr())
+	rest := &fixedRest{}
+	pool.Rest = rest
 	first, second := newRecordedBody(), newRecordedBody()
 	start := func(handler ResponseHandler) {
 		if _, err := pool.Start(handler, getRequest, nil, false); err != nil {
@@ -87,16 +89,21 @@
 	if engine.Accepted() != 2 {
 		t.Errorf("%d connections, want 2: the first one has carried a stray response", engine.Accepted())
 	}
+	f.loop.Do(func() {
+		if len(rest.delays) == 0 || rest.delays[0] != 0 {
+			t.Errorf("delays of stray bytes: %v, want 0 for those in the same read", rest.delays)
+		}
+	})
 }
 
-// fixedRest is a RestPolicy with the same rest at and below the limit. It counts stray bytes.
+// fixedRest is a RestPolicy with the same rest at and below the limit. It records the delays of stray bytes.
 type fixedRest struct {
 	minIdleTime time.Duration
-	stray       int
+	delays      []time.Duration
 }
 
-func (p *fixedRest) MinIdleTime(bool) time.Duration { return p.minIdleTime }
-func (p *fixedRest) RecordStrayBytes()              { p.stray++ }
+func (p *fixedRest) MinIdleTime(bool) time.Duration       { return p.minIdleTime }
+func (p *fixedRest) RecordStrayBytes(delay time.Duration) { p.delays = append(p.delays, delay) }
 
 // TestLateStrayResponseIsNotTakenForTheNextOne guards against a second response that arrives after the
 // connection was taken for the next request, and is taken for the response to that request.
@@ -113,7 +120,7 @@
 	pool.Rest = rest
 	strayClosed := make(chan struct{})
 	pool.OnConnClosed = func(reason CloseReason, _ ConnUse) {
-		if reason == CloseStrayBytes && rest.stray == 2 {
+		if reason == CloseStrayBytes && len(rest.delays) == 2 {
 			close(strayClosed)
 		}
 	}
