--- a/internal/platform/randomfaults_test.go
+++ b/internal/platform/randomfaults_test.go
@@ -101,12 +101,12 @@
 			time.Sleep(slowResponseDelay)
 		}
 		checker.end(r) // the router may retry as soon as it receives the response
+		keepOpen := respondWithFault(r, f)
 		if f == secondResponse {
-			respondWithFault(r, noFault)
 			time.Sleep(secondResponseDelay)
-			return respondWithFault(r, noFault)
+			return respondWithFault(r, f)
 		}
-		return respondWithFault(r, f)
+		return keepOpen
 	})
 }
 
@@ -114,7 +114,7 @@
 func respondWithFault(r *platformtest.Request, f fault) (keepOpen bool) {
 	isDecode := r.Engine.Role() == platformtest.Decode
 	switch f {
-	case noFault, slowResponse:
+	case noFault, slowResponse, secondResponse: // the script is responsible for what differs
 	case errorStatus:
 		return r.Write(platformtest.Status(http.StatusInternalServerError, ""))
 	case rejectedByEngine:
