upstream: a test of the delay with which stray bytes are recorded

Need: a rest that grows depends on that delay, and no test failed when it was always 0. No behaviour changes.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -167,7 +167,7 @@
 	}
 }
 
-// recordStrayBytes tells the RestPolicy of stray bytes on a connection.
+// recordStrayBytes notifies the RestPolicy of stray bytes on a connection.
 func (p *ConnPool) recordStrayBytes(c *Conn) {
 	if p.Rest == nil {
 		return
--- a/internal/upstream/strayresponse_test.go
+++ b/internal/upstream/strayresponse_test.go
@@ -206,3 +206,30 @@
 		})
 	}
 }
+
+// TestDelayOfStrayBytesIsRecorded guards against a RestPolicy that never hears how late an engine's stray bytes
+// are, and therefore never prolongs the rest.
+func TestDelayOfStrayBytesIsRecorded(t *testing.T) {
+	const minDelay = 20 * time.Millisecond
+	f := newFixture(t, Options{IdleTimeout: time.Minute, MaxPerEngine: 4})
+	sendStray := make(chan struct{})
+	f.afterResponse <- func(c net.Conn) {
+		<-sendStray
+		io.WriteString(c, response("stray"))
+	}
+	rest := &fixedRest{}
+	f.pool.Rest = rest
+	closed := make(chan CloseReason, 1)
+	f.pool.OnConnClosed = func(reason CloseReason, _ ConnUse) { closed <- reason }
+	f.request(false)
+	timer := &timerwheel.Timer{Fire: func() { close(sendStray) }}
+	f.loop.Do(func() { f.loop.StartTimer(timer, minDelay) })
+
+	reason := <-closed
+
+	f.loop.Do(func() {
+		if reason != CloseStrayBytes || len(rest.delays) != 1 || rest.delays[0] < minDelay {
+			t.Errorf("closed for %v, delays %v, want %v and a delay of at least %v", reason, rest.delays, CloseStrayBytes, minDelay)
+		}
+	})
+}
