--- a/review/standins-2/judge/platform.go
+++ b/review/standins-2/judge/platform.go
@@ -159,7 +159,7 @@
 	return answer{status: response.StatusCode, header: response.Header, body: string(text), err: err, took: time.Since(sentAt)}
 }
 
-// platformEngine answers as the protocol page has it, at once.
+// platformEngine answers as the protocol page has it. A read takes 50 ms, an answer 0.8 s.
 func platformEngine(flavor string, onRequest func(id string)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -173,6 +173,7 @@
 		}
 		onRequest(r.Header.Get("X-Call-Id"))
 		if flavor == "r1" {
+			time.Sleep(50 * time.Millisecond)
 			w.Header().Set("Content-Type", "application/json")
 			w.WriteHeader(http.StatusAccepted)
 			_, _ = io.WriteString(w, `{"cached_tokens":0}`)
@@ -187,6 +188,7 @@
 		} {
 			_, _ = io.WriteString(w, "data: "+event+"\n\n")
 			w.(http.Flusher).Flush()
+			time.Sleep(200 * time.Millisecond)
 		}
 	})
 }
