Review case 8: a client is told that nothing was done after its request has run

What: review/8. A request with a key runs, its connection is reset after the window, and serve answers 429. The client sends it again as the answer says, and it runs again.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
 	echo "build first: the line build of deploy/balancer.toml, then review/build-2.sh" >&2
 	exit 2
 fi
-exec review/standins-2/bin/judge slow-reader review/8
+exec review/standins-2/bin/judge refused-after-run review/8
