--- a/review/standins-2/judge/main.go
+++ b/review/standins-2/judge/main.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -36,6 +37,9 @@
 		fmt.Fprintln(os.Stderr, "usage: judge CASE FOLDER")
 		os.Exit(exitNotRun)
 	}
+	// The router ends with the thread that started it: this goroutine starts it, and stays on the main thread.
+	runtime.LockOSThread()
+	signal.Ignore(syscall.SIGPIPE) // a closed standard output must not end the judge before the router
 	s, err := newScene(os.Args[2], os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "judge:", err)
--- a/review/standins-2/judge/platform.go
+++ b/review/standins-2/judge/platform.go
@@ -98,18 +98,19 @@
 		"PROXY_NAME=n1", "PROXY_LISTEN="+s.listen, fmt.Sprintf("PROXY_DISCOVERY=%v", config["discovery"]),
 		"PROXY_CONFIG="+filepath.Join(s.dir, "config.json"), "TMPDIR="+s.dir)
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	s.must(cmd.Start())
 	exited := make(chan struct{})
 	s.mu.Lock()
 	s.router, s.exited = cmd, exited
 	s.mu.Unlock()
 	go func() {
-		err := cmd.Wait()
+		_ = cmd.Wait()
 		s.mu.Lock()
-		stopped := s.stopped
+		ended := s.hasEnd
 		s.mu.Unlock()
-		if !stopped {
-			s.note("the router has ended by itself: %v", err)
+		if !ended {
+			s.note("the router has ended by itself, %v", cmd.ProcessState)
 		}
 		close(exited)
 	}()
--- a/review/standins-2/judge/scene.go
+++ b/review/standins-2/judge/scene.go
@@ -23,12 +23,11 @@
 	dir        string
 	listen     string // the router's address
 
-	mu      sync.Mutex
-	record  *os.File
-	router  *exec.Cmd
-	exited  chan struct{} // closed when the router has ended
-	stopped bool          // the scene has asked the router to end
-	hasEnd  bool
+	mu     sync.Mutex
+	record *os.File
+	router *exec.Cmd
+	exited chan struct{} // closed when the router has ended
+	hasEnd bool
 }
 
 func newScene(folder string, hasTrouble bool) (*scene, error) {
@@ -78,18 +77,19 @@
 	s.must(err)
 	cmd := exec.Command("bin/martenlock", "serve", "-c", filepath.Join(s.dir, "martenlock.ini"))
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	s.must(cmd.Start())
 	exited := make(chan struct{})
 	s.mu.Lock()
 	s.router, s.exited = cmd, exited
 	s.mu.Unlock()
 	go func() {
-		err := cmd.Wait()
+		_ = cmd.Wait()
 		s.mu.Lock()
-		stopped := s.stopped
+		ended := s.hasEnd
 		s.mu.Unlock()
-		if !stopped {
-			s.note("the router has ended by itself: %v", err)
+		if !ended {
+			s.note("the router has ended by itself, %v", cmd.ProcessState)
 		}
 		close(exited)
 	}()
@@ -107,13 +107,6 @@
 	s.must(errors.New("the router did not become healthy"))
 }
 
-// expectEnd makes the end of the router's process expected.
-func (s *scene) expectEnd() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stopped = true
-}
-
 // freeAddress returns a loopback address with a free port.
 func freeAddress(s *scene) string {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -130,7 +123,6 @@
 		runtime.Goexit()
 	}
 	s.hasEnd = true
-	s.stopped = true
 	router, exited := s.router, s.exited
 	s.mu.Unlock()
 	if router != nil {
@@ -140,8 +132,8 @@
 	}
 	s.copyLog()
 	s.note("verdict: exit %d: %s", code, verdict)
-	fmt.Println(verdict)
 	_ = os.RemoveAll(s.dir)
+	fmt.Println(verdict)
 	os.Exit(code)
 }
 
--- a/review/standins-2/judge/slowreader.go
+++ b/review/standins-2/judge/slowreader.go
@@ -65,7 +65,6 @@
 	time.Sleep(500 * time.Millisecond)
 	if s.hasTrouble {
 		s.note("SIGTERM")
-		s.expectEnd()
 		s.signal(syscall.SIGTERM)
 	}
 	sentAt := s.clock()
