Platform: hear a discovery that is slow, instead of giving up each call to it

Cause: without a watch, a new call started every 0.2 s and the oldest of four was cancelled, so no call got older than 0.8 s. A response had 2.5 s from its head to its first message, and a message in pieces did not count.

Change: control/membership decides how long each call waits. Most are quick (0.35 s), one in each 1.5 s is patient (4.4 s), at most five at once. A response that has begun is kept while its bytes come; the next call starts 2.5 s after the head, as before. A watch that times out in the middle of a message becomes a pending call. A patient call without a response is logged.

Why it works: a quick call is started every 0.2 s, so a discovery that is back is heard as fast as before; the first patient call after that is not given up for 4.4 s.

Tests: on the code before, TestSlowDiscoveryIsHeardInTime failed with answers after 1, 2 and 4 s, a list 4 s after the head and a list in pieces, and so did TestSlowDiscoveryIsHeardAfterSilence, TestSlowMessageOnWatchIsAwaited, TestSlowDiscoveryIsHeardAfterItMoves and TestUnansweredCallsAreLogged.

--- a/control/connlimit/descriptors.go
+++ b/control/connlimit/descriptors.go
@@ -20,8 +20,8 @@
 // established connections to clients and engines: standard streams, files, the listener, epoll and
 // wake-up descriptors, connections to discovery, and client connections that are accepted only to be
 // rejected. All but the last take 19: 3 standard streams, 4 for epoll and wake-up of the event loop and of
-// the Go runtime, the listener, a file that is open briefly, 5 for discovery's watch and its 4 calls, and 5
-// more while discovery moves.
+// the Go runtime, the listener, a file that is open briefly, 5 for the calls to discovery, one of which
+// becomes the watch, and 5 more while discovery moves.
 const reservedDescriptors = 40
 
 // DescriptorBudget is the maximum number of connections to clients and to engines.
--- a/internal/platform/jsonstream.go
+++ b/internal/platform/jsonstream.go
@@ -61,6 +61,9 @@
 	return jsonElement{kind: jsonIncomplete, length: len(piece)}
 }
 
+// isIncomplete reports whether the stream ends within an object so far.
+func (s *jsonStream) isIncomplete() bool { return s.depth > 0 }
+
 // advance processes one byte of an object.
 func (s *jsonStream) advance(c byte) {
 	switch {
--- a/internal/platform/watchcall.go
+++ b/internal/platform/watchcall.go
@@ -21,8 +21,12 @@
 	conn          *eventloop.Conn
 	parser        *http1.Parser
 	messages      jsonStream
-	timeout       timerwheel.Timer // started with the response's head and restarted by recordProgress
+	timer         timerwheel.Timer // bounds the time to the next progress
+	callTimeout   time.Duration    // bounds the time to the response's head
+	startedAt     time.Duration    // on the loop's clock
+	receivedAt    time.Duration    // time of the latest bytes of the response, on the loop's clock
 	establishedAt time.Duration    // on the loop's clock; set once the call is the watch
+	isResponding  bool             // the head of the response has arrived
 	hasEnded      bool
 }
 
@@ -30,13 +34,20 @@
 // watch.
 var watchLimits = http1.Limits{Line: 4096, Headers: 16 << 10, Fields: 64, Body: math.MaxInt64 / 2}
 
-// newWatchCall returns a call. Call connect to start it.
-func newWatchCall(client *discoveryClient) *watchCall {
-	return &watchCall{
-		client:   client,
-		parser:   http1.NewResponseParser(&watchLimits),
-		messages: jsonStream{maxObjectBytes: client.maxMessageBytes},
+// watchTimedOut is the message of the warning that a response has had no complete message or heartbeat in time.
+const watchTimedOut = "discovery watch timed out"
+
+// newWatchCall returns a call that is given up if no response begins within timeout. Call connect to start it.
+func newWatchCall(client *discoveryClient, timeout time.Duration) *watchCall {
+	call := &watchCall{
+		client:      client,
+		parser:      http1.NewResponseParser(&watchLimits),
+		messages:    jsonStream{maxObjectBytes: client.maxMessageBytes},
+		callTimeout: timeout,
+		startedAt:   client.loop.Now(),
 	}
+	call.timer.Fire = call.handleTimeout
+	return call
 }
 
 // connect starts to connect to discovery. An error means that no connection could be started, for example
@@ -48,6 +59,7 @@
 		return fmt.Errorf("dial discovery: %w", err)
 	}
 	w.conn = conn
+	w.client.loop.StartTimer(&w.timer, w.callTimeout)
 	return nil
 }
 
@@ -66,7 +78,7 @@
 		return
 	}
 	w.hasEnded = true
-	w.client.loop.StopTimer(&w.timeout)
+	w.client.loop.StopTimer(&w.timer)
 	w.conn.Abort()
 	w.client.remove(w)
 }
@@ -97,13 +109,38 @@
 		w.establishedAt = w.client.loop.Now()
 		w.client.establish(w)
 	}
-	w.restartTimeout()
+	w.client.loop.StartTimer(&w.timer, membership.WatchTimeout)
 }
 
-// restartTimeout bounds the time until the next complete message or heartbeat by membership.WatchTimeout.
-func (w *watchCall) restartTimeout() {
-	w.timeout.Fire = func() { w.fail(warning{message: "discovery watch timed out"}) }
-	w.client.loop.StartTimer(&w.timeout, membership.WatchTimeout)
+// recordBytes restarts the time-out of a pending call after bytes of its response. The watch is established by
+// whole messages and heartbeats only.
+func (w *watchCall) recordBytes() {
+	w.receivedAt = w.client.loop.Now()
+	if w.client.watch != w && w.isResponding {
+		w.client.loop.StartTimer(&w.timer, w.pendingCall().RemainingTimeout())
+	}
+}
+
+// pendingCall describes the call for package membership.
+func (w *watchCall) pendingCall() membership.PendingCall {
+	return membership.PendingCall{Age: w.client.loop.Now() - w.startedAt, Timeout: w.callTimeout}
+}
+
+// handleTimeout gives up the call, or suspends the watch if it is in the middle of a message. That a quick
+// call gets no response is not logged: several of them fail while discovery is slow or down.
+func (w *watchCall) handleTimeout() {
+	sinceBytes := w.client.loop.Now() - w.receivedAt
+	switch {
+	case w.client.watch == w && w.messages.isIncomplete() && sinceBytes < membership.WatchTimeout:
+		w.client.suspendWatch()
+		w.client.loop.StartTimer(&w.timer, membership.WatchTimeout-sinceBytes)
+	case w.isResponding:
+		w.fail(warning{message: watchTimedOut})
+	case w.callTimeout == membership.PatientCallTimeout:
+		w.fail(warning{message: "discovery call timed out"})
+	default:
+		w.end()
+	}
 }
 
 // Opened implements eventloop.Handler. It does nothing: sendRequest has already written the request,
@@ -123,6 +160,7 @@
 // consumed.
 func (w *watchCall) Data(_ *eventloop.Conn, b []byte) int {
 	consumed := 0
+	w.recordBytes()
 	for !w.hasEnded {
 		used, kind, content, err := w.parser.Next(b[consumed:])
 		consumed += used
@@ -152,14 +190,15 @@
 }
 
 // handleHead checks the response's status. Discovery sends the head at once, even if it has no change to
-// send, so the next call is not started unless this one fails or times out.
+// send, so the next call is postponed.
 func (w *watchCall) handleHead(status int) {
 	if status != http.StatusOK {
 		w.fail(warning{message: "discovery returned an unexpected status", status: status})
 		return
 	}
-	w.restartTimeout()
-	w.client.cancelScheduledCall()
+	w.isResponding = true
+	w.recordBytes()
+	w.client.postponeCall()
 }
 
 // handleContent splits a piece of the body into messages and heartbeats, and processes them.
