Serve: an answer that finds the buffers full counts as executed, not as not sent

Cause: attempt.Data ended the attempt as control.NotSent when an answer did not fit into the buffers. That result says that the caller did not forward the attempt, so the module forwarded the request again and at last rejected it.

Change: an answer that needs no check is streamed when the buffers are full. Any other ends its attempt with a result of its own, ResponseDropped: the engine has executed the request and is not at fault. The KV state of a prefill whose response was dropped is released. The platform ended such attempts as Failed, which ejected engines that were not at fault.

Why it works: MayHaveExecuted holds for the new result, so that the module's rules for executed requests apply, and health treats it like a cancellation.

--- a/control/enum_string.go
+++ b/control/enum_string.go
@@ -77,11 +77,12 @@
 	_ = x[Reset-6]
 	_ = x[Cancelled-7]
 	_ = x[NotSent-8]
+	_ = x[ResponseDropped-9]
 }
 
-const _Result_name = "okprefill_donefailedrejectedtimed_outconnect_failedresetcancellednot_sent"
+const _Result_name = "okprefill_donefailedrejectedtimed_outconnect_failedresetcancellednot_sentresponse_dropped"
 
-var _Result_index = [...]uint8{0, 2, 14, 20, 28, 37, 51, 56, 65, 73}
+var _Result_index = [...]uint8{0, 2, 14, 20, 28, 37, 51, 56, 65, 73, 89}
 
 func (i Result) String() string {
 	idx := int(i) - 0
--- a/control/events.go
+++ b/control/events.go
@@ -71,12 +71,18 @@
 	Cancelled // cancelled
 	// NotSent means that the caller did not forward the attempt.
 	NotSent // not_sent
+	// ResponseDropped means that the engine answered with success, but the caller had no memory for the
+	// response. The request was executed.
+	ResponseDropped // response_dropped
 )
 
+// ResultCount is the number of results.
+const ResultCount = int(ResponseDropped) + 1
+
 // MayHaveExecuted reports whether the engine may have executed the request, or may still execute it, although
 // the attempt did not succeed.
 func (r Result) MayHaveExecuted() bool {
-	return r == Failed || r == TimedOut || r == Reset || r == Cancelled
+	return r == Failed || r == TimedOut || r == Reset || r == Cancelled || r == ResponseDropped
 }
 
 // ClientGone reports that the client left. The request needs no final answer.
--- a/control/health.go
+++ b/control/health.go
@@ -139,7 +139,7 @@
 			target.health.recordRejection(r.now)
 			rejected = 1
 		}
-	case Cancelled, NotSent: // caused by the router or its caller
+	case Cancelled, NotSent, ResponseDropped: // caused by the router or its caller
 	}
 	r.rejectionRates[target.role].Approach(rejected, latencyAlpha)
 	target.health.lastProgress = r.now
--- a/control/requestmodel_test.go
+++ b/control/requestmodel_test.go
@@ -166,5 +166,6 @@
 	t.Helper()
 	return rapid.SampledFrom([]control.Result{
 		control.OK, control.PrefillDone, control.Failed, control.Rejected, control.TimedOut, control.ConnectFailed, control.Reset,
+		control.ResponseDropped,
 	}).Draw(t, "result")
 }
--- a/control/retention.go
+++ b/control/retention.go
@@ -32,7 +32,7 @@
 
 // provesArrival reports whether the result proves that the attempt reached its engine.
 func (r Result) provesArrival() bool {
-	return r == OK || r == PrefillDone || r == Failed || r == Rejected
+	return r == OK || r == PrefillDone || r == Failed || r == Rejected || r == ResponseDropped
 }
 
 // recordOutcome updates the retention after the end of an attempt at an endpoint.
--- a/control/retention_test.go
+++ b/control/retention_test.go
@@ -57,7 +57,7 @@
 // TestAgeOfKVStateCountsFromLatestProvenArrival: an attempt that ends without proof of arrival does not reset
 // the age of the KV state. An attempt that got a response does.
 func TestAgeOfKVStateCountsFromLatestProvenArrival(t *testing.T) {
-	for result, isProof := range map[Result]bool{Reset: false, Cancelled: false, ConnectFailed: false, NotSent: false, Failed: true, Rejected: true} {
+	for result, isProof := range map[Result]bool{Reset: false, Cancelled: false, ConnectFailed: false, NotSent: false, Failed: true, Rejected: true, ResponseDropped: true} {
 		h := startReleasing(t, RolePrefill, RoleDecode, RoleDecode, RoleDecode)
 		decode := h.arriveAndPrefill(0, h.request(1, classIdempotent))
 		retainedSince := h.now
@@ -79,7 +79,7 @@
 // TestKVStateOfEarlierPrefillReleasedBeforeRetry: a failed prefill may have left a KV state. It is released
 // before the retry, since a later release would also take the KV state of the retry.
 func TestKVStateOfEarlierPrefillReleasedBeforeRetry(t *testing.T) {
-	for result, mayRetain := range map[Result]bool{Reset: true, Cancelled: true, Failed: true, ConnectFailed: false, NotSent: false, Rejected: false} {
+	for result, mayRetain := range map[Result]bool{Reset: true, Cancelled: true, Failed: true, ResponseDropped: true, ConnectFailed: false, NotSent: false, Rejected: false} {
 		h := startReleasing(t, RolePrefill, RolePrefill, RoleDecode)
 		actions := h.end(10*ms, h.arrive(0, h.request(1, classNotIdempotent)), 0, result)
 		h.onlyForward(actions)
--- a/control/retry_test.go
+++ b/control/retry_test.go
@@ -16,6 +16,32 @@
 	}
 }
 
+// TestDroppedResponseCountsAsExecuted guards against a response that the caller has no memory for and that counts as not
+// sent: the request is executed again. Its engine is not at fault and stays in use.
+func TestDroppedResponseCountsAsExecuted(t *testing.T) {
+	h := startRouter(t, testSettings(), RolePrefill, RoleDecode, RoleDecode)
+	for id := RequestID(1); id <= 40; id++ {
+		decode := h.arriveAndPrefill(ms, h.request(id, classNotIdempotent))
+		actions := h.end(ms, decode, 1, ResponseDropped)
+		if count[Fail](actions) != 1 || count[Forward](actions) != 0 || count[Reject](actions) != 0 {
+			t.Fatalf("request %d: want only a Fail as final answer, got %v", id, actions)
+		}
+		if count[Log](actions) != 0 {
+			t.Fatalf("request %d: an engine is ejected: %v", id, actions)
+		}
+	}
+}
+
+// TestIdempotentRequestIsRetriedAfterDroppedResponse: another engine's response may be smaller, or come when there is
+// memory again.
+func TestIdempotentRequestIsRetriedAfterDroppedResponse(t *testing.T) {
+	h := startRouter(t, testSettings(), RolePrefill, RolePrefill, RoleDecode)
+	prefill := h.arrive(0, h.request(1, classIdempotent))
+	if retry := h.onlyForward(h.end(ms, prefill, 0, ResponseDropped)); retry.Endpoint == prefill.Endpoint {
+		t.Fatalf("forwarded to endpoint %d again, want the other prefill engine", retry.Endpoint)
+	}
+}
+
 func TestNotIdempotentRequestThatNeverArrivedIsRetried(t *testing.T) {
 	h := startRouter(t, testSettings(), RolePrefill, RoleDecode, RoleDecode)
 	decode := h.arriveAndPrefill(0, h.request(1, classNotIdempotent))
--- a/internal/openaiserver/attempt.go
+++ b/internal/openaiserver/attempt.go
@@ -32,6 +32,7 @@
 	contentLength int64 // in bytes; negative if unknown
 	contentType   []byte
 	buffered      []byte // the response body as far as it is buffered; counted in Server.bufferedBytes
+	isTruncated   bool   // the rest of an error response is discarded
 	loadReport    []float64
 	cachedTokens  uint32 // prompt tokens that a prefill engine found in its KV cache
 	kvMissing     bool   // a decode engine could not fetch the KV state
@@ -109,10 +110,16 @@
 }
 
 // mayRetainKV reports whether the engine may retain KV state, now or later, although its response was not received.
-// This is possible if a prefill may have reached the engine and then timed out, lost its connection or was cancelled.
+// This is possible if a prefill may have reached the engine and then timed out, lost its connection or was cancelled, or
+// if there was no memory for its response.
 func (a *attempt) mayRetainKV(result control.Result) bool {
 	if a.role != control.RolePrefill || !a.isConnected {
 		return false
 	}
-	return result == control.TimedOut || result == control.Reset || result == control.Cancelled
+	switch result {
+	case control.TimedOut, control.Reset, control.Cancelled, control.ResponseDropped:
+		return true
+	case control.OK, control.PrefillDone, control.Failed, control.Rejected, control.ConnectFailed, control.NotSent:
+	}
+	return false
 }
--- a/internal/openaiserver/attemptresponse.go
+++ b/internal/openaiserver/attemptresponse.go
@@ -37,33 +37,47 @@
 	a.loadReport = openai.ParseLoadReport(head.Get("endpoint-load-metrics"), a.exchange.pool.settings.ReportMetrics)
 }
 
-// Data implements upstream.ResponseHandler. It buffers the body up to attempt.bufferLimit. Above the limit, an error
-// response is truncated, a prefill response or an answer that has to be checked fails the attempt, and any other answer
-// is streamed. The attempt ends with control.NotSent if the server's memory for buffers is exhausted.
+// Data implements upstream.ResponseHandler. It buffers the body up to attempt.bufferLimit, if the server has memory
+// for it. From the first part that is not buffered, an error response is truncated, and an answer that needs no check is
+// streamed. A prefill response, and an answer that has to be checked, ends the attempt.
 func (a *attempt) Data(data []byte) {
 	server := a.exchange.pool.server
 	isPrefill := a.role == control.RolePrefill
+	isTooLong := len(a.buffered)+len(data) > a.bufferLimit()
 	switch {
 	case a.state == decisionloop.AttemptEnded:
 	case a.state == decisionloop.AttemptStreaming:
 		a.forwardData(data)
-	case len(a.buffered)+len(data) <= a.bufferLimit():
-		if server.bufferedBytes+int64(len(data)) > maxBufferedBytes {
-			a.finish(control.NotSent, false)
-			return
-		}
-		a.buffered = append(a.buffered, data...)
-		server.bufferedBytes += int64(len(data))
-	case a.status != http.StatusOK: // truncates an error response
-	case isPrefill || a.exchange.apiRequest.NeedsResponseCheck():
+	case a.isTruncated:
+	case !isTooLong && server.hasMemoryFor(len(data)):
+		a.buffer(data)
+	case a.status != http.StatusOK:
+		a.truncate(data)
+	case !isPrefill && !a.exchange.apiRequest.NeedsResponseCheck():
+		a.startStream(data)
+	case isTooLong:
 		// The connection may have accepted a body of this length: its own limit is not maxPrefillResponseBytes, and
 		// a reload may have lowered MaxResponseBytes after the head arrived.
 		a.finish(control.Failed, false)
-	default:
-		a.startStream(data)
+	default: // the engine has executed the request and is not at fault
+		a.finish(control.ResponseDropped, false)
 	}
 }
 
+// buffer appends data to the buffered part of the response body.
+func (a *attempt) buffer(data []byte) {
+	a.buffered = append(a.buffered, data...)
+	a.exchange.pool.server.bufferedBytes += int64(len(data))
+}
+
+// truncate buffers as much of data as fits, and makes Data discard what follows.
+func (a *attempt) truncate(data []byte) {
+	free := maxBufferedBytes - a.exchange.pool.server.bufferedBytes
+	fits := min(int64(len(data)), int64(a.bufferLimit()-len(a.buffered)), free)
+	a.buffer(data[:max(fits, 0)])
+	a.isTruncated = true
+}
+
 // bufferLimit returns the limit on the buffered part of the response body, in bytes.
 func (a *attempt) bufferLimit() int {
 	limits := &a.exchange.pool.server.config.Limits
--- a/internal/openaiserver/clients.go
+++ b/internal/openaiserver/clients.go
@@ -34,7 +34,7 @@
 // Reserve implements httpserver.Memory.
 func (m bodyMemory) Reserve(bytes int) bool {
 	s := m.server
-	if s.bufferedBytes+int64(bytes) > maxBufferedBytes {
+	if !s.hasMemoryFor(bytes) {
 		return false
 	}
 	s.bufferedBytes += int64(bytes)
--- a/internal/openaiserver/dispatch.go
+++ b/internal/openaiserver/dispatch.go
@@ -99,7 +99,7 @@
 		c.respondError(openai.InvalidRequest(s.config.Request.ClassHeader, "there is no class '%s'", c.request.class), "")
 	case s.openRequests >= s.config.Limits.MaxRequests || s.shutdown.inProgress:
 		c.respondRouterFull()
-	case s.bufferedBytes+int64(apiRequest.ItemCount)*itemOverheadBytes > maxBufferedBytes:
+	case !s.hasMemoryFor(apiRequest.ItemCount * itemOverheadBytes):
 		c.respondOutOfMemory()
 	default:
 		c.startOperation(p, apiRequest, s.config.Classes[class])
--- a/internal/openaiserver/harness_test.go
+++ b/internal/openaiserver/harness_test.go
@@ -85,17 +85,23 @@
 }
 
 // waitUntil waits until a condition holds and fails the test after 20 s.
-func (h *harness) waitUntil(condition string, holds func() bool) {
-	h.t.Helper()
+func waitUntil(t *testing.T, condition string, holds func() bool) {
+	t.Helper()
 	deadline := time.Now().Add(20 * time.Second)
 	for !holds() {
 		if time.Now().After(deadline) {
-			h.t.Fatalf("timed out after 20s waiting until: %s", condition)
+			t.Fatalf("timed out after 20s waiting until: %s", condition)
 		}
 		time.Sleep(2 * ms)
 	}
 }
 
+// waitUntil calls the function waitUntil with the harness's test.
+func (h *harness) waitUntil(condition string, holds func() bool) {
+	h.t.Helper()
+	waitUntil(h.t, condition, holds)
+}
+
 // waitUntilIdle waits until the router has no open requests, buffered bytes or pending KV releases, and the engines
 // have no requests and retain no KV state. It returns without an error if the router has stopped.
 func (h *harness) waitUntilIdle() {
--- a/internal/openaiserver/server.go
+++ b/internal/openaiserver/server.go
@@ -60,6 +60,11 @@
 // against it.
 const maxBufferedBytes = 1 << 30
 
+// hasMemoryFor reports whether a number of further bytes may be buffered.
+func (s *Server) hasMemoryFor(bytes int) bool {
+	return s.bufferedBytes+int64(bytes) <= maxBufferedBytes
+}
+
 // clockStart is the time on the decision module's clock when the event loop starts: one day, in microseconds. It is not
 // 0 so that an engine that started up to a day before this server has a positive start time.
 const clockStart = control.Time(24 * 3600 * 1e6)
--- a/internal/platform/attemptresponse.go
+++ b/internal/platform/attemptresponse.go
@@ -38,8 +38,10 @@
 	case a.status != http.StatusOK: // only the beginning of such a body is used
 		fits := min(len(data), maxBufferedResponseBytes-len(a.buffered))
 		a.buffered = append(a.buffered, data[:fits]...)
-	case len(a.buffered)+len(data) > maxBufferedResponseBytes || s.bufferedBytes+len(data) > s.limits.maxBufferedBytes:
+	case len(a.buffered)+len(data) > maxBufferedResponseBytes:
 		a.finish(control.Failed, false)
+	case s.bufferedBytes+len(data) > s.limits.maxBufferedBytes: // the engine executes the request and is not at fault
+		a.finish(control.ResponseDropped, false)
 	default:
 		a.buffered = append(a.buffered, data...)
 		s.bufferedBytes += len(data)
--- a/internal/platform/trace.go
+++ b/internal/platform/trace.go
@@ -38,7 +38,7 @@
 	firstEvents         uint64
 	totalFirstEventTime time.Duration               // sum of the times to all first events
 	maxFirstEventTime   time.Duration               // longest time to a first event in this interval
-	results             [control.NotSent + 1]uint64 // attempts ended, by control.Result
+	results             [control.ResultCount]uint64 // attempts ended, by control.Result
 }
 
 // startTrace starts the trace if level, the value of TraceVariable, enables it.
