Reject a keyed request that may have run only if its retry is certain to be dropped

What callers saw: a request with a key ran, its connection was reset after the dedup window, and the client was told 429, "Nothing was done; please retry later".

Cause: clientMayRetry in control/request.go let any request of a keyed class with scope all be rejected, without regard to its window.

With the rule in the model, the code before fails after 241 draws.

Change: Class.IsRepeatHarmless. Such a request is rejected only if its window, counted from the first attempt that may have run, outlasts Retry-After, rounded up to seconds, and the time budget of a retry; otherwise it fails. A request in shards follows the same rule, counted from its arrival, and is rejected without regard to it if no other shard has started. Rejections say that a retry is harmless instead of that nothing was done, which was untrue for idempotent requests as well. Package invariant checks rejections after the window too.

Why it works: a client that retries when Retry-After is over reaches an engine by the deadline of the retry, and the engines still drop it then.

--- a/control/actions.go
+++ b/control/actions.go
@@ -19,7 +19,8 @@
 	SendWithin time.Duration
 }
 
-// Reject is the final answer to a request that the client may safely repeat.
+// Reject is the final answer to a request that the client may safely repeat. The request may have been executed
+// all the same: see Class.IsRepeatHarmless.
 type Reject struct {
 	ID         RequestID
 	RetryAfter time.Duration // time after which the client may repeat the request; 0 for none
--- a/control/request.go
+++ b/control/request.go
@@ -117,11 +117,15 @@
 	return false
 }
 
-// clientMayRetry reports whether the client can safely send the request again, through any router.
-func (req *request) clientMayRetry() bool {
-	class := req.class
-	deduplicated := class.Idempotency == IdempotentWithKey && class.DedupScope == DedupScopeAll
-	return !req.mayHaveExecuted() || class.Idempotency == Idempotent || deduplicated
+// clientMayRetry reports whether the client can safely send the request again, through any router, if it is
+// rejected now and waits for retryAfter.
+func (req *request) clientMayRetry(now Time, retryAfter time.Duration) bool {
+	return !req.mayHaveExecuted() || req.class.IsRepeatHarmless(Repeat{
+		ExecutedAt: req.firstExecution.sentAt,
+		RejectedAt: now,
+		RetryAfter: retryAfter,
+		TimeBudget: req.Deadline.Sub(req.arrivedAt),
+	})
 }
 
 // mayCrashEngines reports whether the request is suspected of crashing engines: every permitted attempt lost
--- a/control/requestmodel_test.go
+++ b/control/requestmodel_test.go
@@ -11,7 +11,8 @@
 // modelRequest is the expected state of a request, from the view of its client and of the engines.
 type modelRequest struct {
 	control.Request
-	class *control.Class
+	class     *control.Class
+	arrivedAt control.Time
 
 	answered        bool
 	clientGone      bool
@@ -49,13 +50,15 @@
 	return r.answered || r.clientGone || r.hasFirstToken
 }
 
-// mayBeRejected reports whether the client can safely repeat the request through any router.
-func (r *modelRequest) mayBeRejected() bool {
+// mayBeRejected reports whether the client can safely repeat the request through any router, after a rejection at this
+// time: the repeat may reach an engine as late as its own deadline.
+func (r *modelRequest) mayBeRejected(rejection control.Reject, now control.Time) bool {
 	switch {
 	case r.executedAt == 0 || r.class.Idempotency == control.Idempotent:
 		return true
 	case r.class.Idempotency == control.IdempotentWithKey:
-		return r.class.DedupScope == control.DedupScopeAll
+		repeatDeadline := now.Add(rejection.RetryAfter).Add(r.Deadline.Sub(r.arrivedAt))
+		return r.class.DedupScope == control.DedupScopeAll && repeatDeadline < r.executedAt.Add(r.class.DedupWindow)
 	}
 	return false
 }
@@ -154,10 +157,11 @@
 		{Idempotency: control.IdempotentWithKey, DedupScope: control.DedupScopeZone},
 		{Idempotency: control.IdempotentWithKey, DedupScope: control.DedupScopeCell},
 	}
+	dedupWindow := time.Duration(rapid.SampledFrom([]int{400, 5000}).Draw(t, "dedup window ms")) * ms
 	for i := range settings.Classes {
 		class := &settings.Classes[i]
 		class.TTFTObjective, class.Deadline = 800*ms, 2*time.Second
-		class.PriorityWeight, class.DedupWindow = 1, 400*ms
+		class.PriorityWeight, class.DedupWindow = 1, dedupWindow
 	}
 	return settings
 }
--- a/control/retry.go
+++ b/control/retry.go
@@ -182,14 +182,14 @@
 // finishWithoutService emits the final answer of a request: Reject if the client may safely repeat it, else
 // Fail. It also emits Fail if every attempt lost its connection, since the request may crash engines.
 func (r *Router) finishWithoutService(request *request, reason FinishReason) {
+	retryAfter := max(r.estimateFirstToken(request), minRetryAfter)
+	retryAfter = min(r.settings.Limits.MaxRetryAfter, retryAfter)
 	switch {
 	case request.mayCrashEngines():
 		r.emit(Fail{ID: request.ID, Reason: FinishedForLostConnections})
-	case !request.clientMayRetry():
+	case !request.clientMayRetry(r.now, retryAfter):
 		r.emit(Fail{ID: request.ID, Reason: reason})
 	default:
-		retryAfter := max(r.estimateFirstToken(request), minRetryAfter)
-		retryAfter = min(r.settings.Limits.MaxRetryAfter, retryAfter)
 		r.emit(Reject{ID: request.ID, RetryAfter: retryAfter, Reason: reason})
 	}
 	r.finish(request)
--- a/control/scatter/example_test.go
+++ b/control/scatter/example_test.go
@@ -14,9 +14,10 @@
 	shards := scatter.Plan([]float64{200, 200, 200, 200}, scatter.Limits{ShardTokens: 500})
 	fmt.Println(shards)
 
-	gather := scatter.NewGather(len(shards), control.Class{Idempotency: control.Idempotent})
-	fmt.Println(gather.Complete(1, outcome.Served), gather.Outstanding())
-	fmt.Println(gather.Complete(0, outcome.Served))
+	gather := scatter.NewGather(scatter.Request{Shards: len(shards), Class: control.Class{Idempotency: control.Idempotent}})
+	served := scatter.ShardEnd{Outcome: outcome.Served}
+	fmt.Println(gather.Complete(1, served), gather.Outstanding())
+	fmt.Println(gather.Complete(0, served))
 	// Output:
 	// [{0 2} {2 4}]
 	// wait [0]
--- a/control/scatter/gather.go
+++ b/control/scatter/gather.go
@@ -25,35 +25,57 @@
 	RelayError // relay error
 )
 
+// Request is a request that was split into shards.
+type Request struct {
+	Class     control.Class
+	Shards    int
+	ArrivedAt control.Time
+	Deadline  control.Time
+}
+
+// ShardEnd is how a shard ended.
+type ShardEnd struct {
+	Outcome    outcome.Outcome
+	At         control.Time
+	RetryAfter time.Duration // for a rejected shard: the Retry-After of the whole request
+}
+
 // Gather collects the outcomes of the shards of one request. It makes at most one decision other than Wait.
 type Gather struct {
-	repeatable  bool   // all shards may be executed again
+	request     Request
+	started     []bool // by index of the shard
 	completed   []bool // by index of the shard
 	outstanding int
 	decided     bool
 }
 
-// NewGather returns a Gather for a request of the given class that was split into the given number of shards.
-func NewGather(shards int, class control.Class) *Gather {
+// NewGather returns a Gather for a request.
+func NewGather(request Request) *Gather {
 	return &Gather{
-		repeatable:  isRepeatable(class),
-		completed:   make([]bool, shards),
-		outstanding: shards,
+		request:     request,
+		started:     make([]bool, request.Shards),
+		completed:   make([]bool, request.Shards),
+		outstanding: request.Shards,
 	}
 }
 
-// isRepeatable reports whether a client may repeat a request after some of its shards were executed. With
-// an idempotency key it may do so only if all endpoints share the keys, since the repeated request may
-// reach other endpoints.
-func isRepeatable(class control.Class) bool {
-	switch class.Idempotency {
-	case control.Idempotent:
-		return true
-	case control.IdempotentWithKey:
-		return class.DedupScope == control.DedupScopeAll
-	case control.NotIdempotent:
+// Start records that a shard may be executed from now on.
+func (g *Gather) Start(shard int) { g.started[shard] = true }
+
+// mayReject reports whether a client may repeat the whole request after the rejection of a shard. Other shards
+// that were started may have been executed.
+func (g *Gather) mayReject(rejected int, end ShardEnd) bool {
+	for shard, started := range g.started {
+		if started && shard != rejected {
+			return g.request.Class.IsRepeatHarmless(control.Repeat{
+				ExecutedAt: g.request.ArrivedAt,
+				RejectedAt: end.At,
+				RetryAfter: end.RetryAfter,
+				TimeBudget: g.request.Deadline.Sub(g.request.ArrivedAt),
+			})
+		}
 	}
-	return false
+	return true
 }
 
 // Outstanding returns the shards that have not ended, in ascending order. The caller must cancel them after a
@@ -72,24 +94,25 @@
 // unknown or has already ended, and for all shards after the decision.
 //
 // The first shard that is not served decides the request, because an answer needs all shards. If the shard
-// was rejected, the whole request is rejected only if it is repeatable or has no other shards. Otherwise it
-// fails: other shards may have been executed, and a retry of the whole request would execute them again.
-func (g *Gather) Complete(shard int, result outcome.Outcome) Decision {
+// was rejected, the whole request is rejected only if no other shard was started, or if a repeat of all shards
+// is harmless. Otherwise it fails: other shards may have been executed, and a retry of the whole request would
+// execute them again.
+func (g *Gather) Complete(shard int, end ShardEnd) Decision {
 	if g.decided || shard < 0 || shard >= len(g.completed) || g.completed[shard] {
 		return Wait
 	}
 	g.completed[shard] = true
 	g.outstanding--
-	if result == outcome.Served && g.outstanding > 0 {
+	if end.Outcome == outcome.Served && g.outstanding > 0 {
 		return Wait
 	}
 	g.decided = true
 	switch {
-	case result == outcome.Served:
+	case end.Outcome == outcome.Served:
 		return Merge
-	case result == outcome.InvalidRequest:
+	case end.Outcome == outcome.InvalidRequest:
 		return RelayError
-	case result == outcome.Rejected && (g.repeatable || len(g.completed) == 1):
+	case end.Outcome == outcome.Rejected && g.mayReject(shard, end):
 		return Reject
 	}
 	return Fail
--- a/control/statemachine_test.go
+++ b/control/statemachine_test.go
@@ -69,8 +69,9 @@
 		case control.Forward:
 			m.forward(action)
 		case control.Reject:
-			if request := m.finish(action.ID); !request.mayBeRejected() {
-				m.t.Fatalf("request %d rejected though it may have been executed", action.ID)
+			request := m.finish(action.ID)
+			if !request.mayBeRejected(action, m.now) {
+				m.t.Fatalf("request %d rejected though it may have been executed and a repeat may be too late", action.ID)
 			}
 		case control.Fail:
 			m.finish(action.ID)
@@ -260,7 +261,7 @@
 // arrive passes a new request of a class to the router. timeout is the time until its deadline.
 func (m *stateMachine) arrive(class int, timeout time.Duration) {
 	m.lastID++
-	request := &modelRequest{class: &m.settings.Classes[class], Request: control.Request{
+	request := &modelRequest{class: &m.settings.Classes[class], arrivedAt: m.now, Request: control.Request{
 		ID: m.lastID, Class: class, Deadline: m.now.Add(timeout), PromptTokens: 1000, MaxTokens: 100,
 		SessionID:  uint64(rapid.IntRange(0, 5).Draw(m.t, "session")),
 		PrefixHash: uint64(rapid.IntRange(0, 3).Draw(m.t, "prefix")),
--- a/internal/invariant/execution.go
+++ b/internal/invariant/execution.go
@@ -3,7 +3,7 @@
 import "time"
 
 // executionRule checks that a request has at most one attempt in flight and is executed only as often as its Effect allows.
-// A request that is not idempotent must not be rejected after an execution. Each shard of a request is checked separately.
+// A request that is not idempotent must not be rejected after an execution, nor one with a key after its window. Each shard of a request is checked separately.
 // Engines must not execute requests that no client sent.
 type executionRule struct {
 	verdict *Verdict
@@ -68,10 +68,15 @@
 	}
 }
 
-// checkAnswer adds a violation if a request that is not idempotent was rejected after an execution. description is the part
-// of the violation's text that names the execution.
+// checkAnswer adds a violation if a request was rejected after an execution, and engines don't drop its repeat: it is not
+// idempotent, or its window is over. description is the part of the violation's text that names the execution.
 func (r *executionRule) checkAnswer(request *requestHistory, answer Event, description string) {
-	if answer.Result == Rejected && request.effect == NotIdempotent && len(request.executions) > 0 {
-		r.verdict.addViolation(answer.At, "%s: rejected as if a retry were harmless, but %s at %s", request.id, description, request.executions[0].Engine)
+	if answer.Result != Rejected || len(request.executions) == 0 {
+		return
+	}
+	first := request.executions[0]
+	isWindowOver := answer.At-first.At > request.dedupWindow
+	if request.effect == NotIdempotent || request.effect == IdempotentWithKey && isWindowOver {
+		r.verdict.addViolation(answer.At, "%s: rejected as if a retry were harmless, but %s at %s", request.id, description, first.Engine)
 	}
 }
--- a/internal/invariant/execution_test.go
+++ b/internal/invariant/execution_test.go
@@ -12,10 +12,16 @@
 }
 
 func TestRejectionAfterExecutionIsAViolation(t *testing.T) {
-	attempted := concat(list(sent(0, "q", NotIdempotent)), list(at(5, AttemptBegan, "q", "w"), at(6, Executed, "q", "w"), at(7, AttemptEnded, "q", "w")))
+	attempted := func(effect Effect) []Event {
+		return list(sent(0, "q", effect), at(5, AttemptBegan, "q", "w"), at(6, Executed, "q", "w"), at(7, AttemptEnded, "q", "w"))
+	}
 	checkRule(t, executionIndex, []testCase{
-		{"rejected after execution", concat(attempted, list(answer(9, "q", Rejected))), "harmless"},
-		{"failed after execution", concat(attempted, list(answer(9, "q", Failed))), ""},
+		{"rejected after execution", concat(attempted(NotIdempotent), list(answer(9, "q", Rejected))), "harmless"},
+		{"failed after execution", concat(attempted(NotIdempotent), list(answer(9, "q", Failed))), ""},
+		{"with a key, rejected within its window", concat(attempted(IdempotentWithKey), list(answer(9, "q", Rejected))), ""},
+		{"with a key, rejected after its window", concat(attempted(IdempotentWithKey), list(answer(1010, "q", Rejected))), "harmless"},
+		{"with a key, failed after its window", concat(attempted(IdempotentWithKey), list(answer(1010, "q", Failed))), ""},
+		{"idempotent, rejected after execution", concat(attempted(Idempotent), list(answer(1010, "q", Rejected))), ""},
 	})
 }
 
--- a/internal/openaiserver/exchange.go
+++ b/internal/openaiserver/exchange.go
@@ -93,7 +93,7 @@
 	}
 	rejected := overloadedAnswer(e.requestID, action.RetryAfter)
 	if e.pool.readyEndpoints == 0 {
-		rejected = rejectionAnswer(e.requestID, http.StatusServiceUnavailable, "no_engine", "No engine is ready. Nothing was done; please retry later.", action.RetryAfter)
+		rejected = rejectionAnswer(e.requestID, http.StatusServiceUnavailable, "no_engine", "No engine is ready. A retry is harmless; please retry later.", action.RetryAfter)
 	}
 	e.logEnd("request rejected", action.Reason)
 	e.respond(rejected)
--- a/internal/openaiserver/fullbuffers_test.go
+++ b/internal/openaiserver/fullbuffers_test.go
@@ -4,12 +4,10 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
 	"path/filepath"
 	"strings"
 	"testing"
 
-	"martenlock/internal/demo"
 	"martenlock/internal/enginetest"
 	"martenlock/internal/openaiserver"
 	"martenlock/internal/serve"
@@ -31,18 +29,28 @@
 	}
 }
 
-// startServiceWithEngines starts a router with the demo's settings and two engines of a kind in the named pool. It is
-// stopped when the test ends, and the test fails unless all buffers are free by then.
-func startServiceWithEngines(t *testing.T, pool, kind string, addresses ...netip.AddrPort) *serve.Service {
+// countRuns returns how many requests of clients the engine has received.
+func countRuns(engine *enginetest.Engine) (runs int) {
+	for _, request := range engine.Requests() {
+		if strings.HasPrefix(request.Target, "/v1/") {
+			runs++
+		}
+	}
+	return runs
+}
+
+// startServiceWithEngines starts a router with engines of a kind in the named pool. edits holds pairs of old and new text
+// for editedSettings. The router is stopped when the test ends, and the test fails unless all buffers are free by then.
+func startServiceWithEngines(t *testing.T, pool, kind string, engines []*enginetest.Engine, edits ...string) *serve.Service {
 	t.Helper()
 	dir := t.TempDir()
 	var nodes strings.Builder
-	for i, address := range addresses {
-		fmt.Fprintf(&nodes, "[node e%d]\npool = %s\nkind = %s\naddress = %s\n", i, pool, kind, address)
+	for i, engine := range engines {
+		fmt.Fprintf(&nodes, "[node e%d]\npool = %s\nkind = %s\naddress = %s\n", i, pool, kind, engine.Addr())
 	}
 	writeFile(t, filepath.Join(dir, "nodes.ini"), nodes.String())
 	configPath := filepath.Join(dir, "m.ini")
-	writeFile(t, configPath, fmt.Sprintf(demo.Settings, "127.0.0.1:0", 1, "error"))
+	writeFile(t, configPath, editedSettings(t, edits))
 	service, err := serve.Start(configPath, io.Discard)
 	if err != nil {
 		t.Fatal(err)
@@ -97,7 +105,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			first := enginetest.Start(t, respondWith(test.status, bufferedText))
 			second := enginetest.Start(t, respondWith(test.status, bufferedText))
-			service := startServiceWithEngines(t, test.pool, "mixed", first.Addr(), second.Addr())
+			service := startServiceWithEngines(t, test.pool, "mixed", []*enginetest.Engine{first, second})
 			release := service.Router.FillBuffers(15_000)
 
 			request, err := http.NewRequest(http.MethodPost, "http://"+service.Router.Addr()+paths[test.pool], strings.NewReader(bodies[test.pool]))
@@ -113,7 +121,7 @@
 			answer.Body.Close()
 			release()
 
-			runs := len(first.Requests()) + len(second.Requests())
+			runs := countRuns(first) + countRuns(second)
 			if err != nil || answer.StatusCode != test.wantStatus || !strings.HasPrefix(string(body), test.wantBody) {
 				t.Errorf("status %d, body of %d bytes, error %v; want status %d and the engine's text", answer.StatusCode, len(body), err, test.wantStatus)
 			}
@@ -128,7 +136,7 @@
 // prefill found the buffers full: the engine is asked to release it.
 func TestFullBuffersLeaveNoKVState(t *testing.T) {
 	engine := enginetest.Start(t, respondWith(http.StatusOK, `{"kv_transfer_params":{"x":"`+bufferedText+`"}}`))
-	service := startServiceWithEngines(t, "chat", "reader", engine.Addr())
+	service := startServiceWithEngines(t, "chat", "reader", []*enginetest.Engine{engine})
 	release := service.Router.FillBuffers(15_000)
 	answer, err := http.Post("http://"+service.Router.Addr()+chatPath, "application/json",
 		strings.NewReader(`{"model":"demo-chat","messages":[{"role":"user","content":"x"}]}`))
@@ -164,7 +172,7 @@
 		}
 		return r.Write("0\r\n\r\n")
 	})
-	service := startServiceWithEngines(t, "chat", "mixed", engine.Addr())
+	service := startServiceWithEngines(t, "chat", "mixed", []*enginetest.Engine{engine})
 
 	answer, err := http.Post("http://"+service.Router.Addr()+chatPath, "application/json",
 		strings.NewReader(`{"model":"demo-chat","messages":[{"role":"user","content":"x"}]}`))
--- a/internal/openaiserver/responder.go
+++ b/internal/openaiserver/responder.go
@@ -86,7 +86,8 @@
 // clientWritable implements operation.
 func (noOperation) clientWritable() {}
 
-// rejectionAnswer returns the answer to a request that the client may safely retry. retryAfter is sent to the client.
+// rejectionAnswer returns the answer to a request that the client may safely retry, though it may have been executed.
+// retryAfter is sent to the client.
 func rejectionAnswer(requestID string, status int, code, message string, retryAfter time.Duration) answer {
 	err := openai.Error{Status: status, Message: message, Type: errorTypeServer, Code: code}
 	return answer{
@@ -102,7 +103,7 @@
 
 // overloadedAnswer returns the answer to a request that is rejected for lack of capacity.
 func overloadedAnswer(requestID string, retryAfter time.Duration) answer {
-	return rejectionAnswer(requestID, http.StatusTooManyRequests, "overloaded", "The service is overloaded. Nothing was done; please retry later.", retryAfter)
+	return rejectionAnswer(requestID, http.StatusTooManyRequests, "overloaded", "The service is overloaded. A retry is harmless; please retry later.", retryAfter)
 }
 
 // failureAnswer returns the answer to a failed request that may have been executed. Its x-should-retry field stops
--- a/internal/openaiserver/scatter.go
+++ b/internal/openaiserver/scatter.go
@@ -58,11 +58,16 @@
 		inputs:      inputs,
 		inputTokens: tokens,
 		plan:        plan,
-		gather:      scatter.NewGather(len(plan), *r.class()),
 		shards:      make([]*shard, len(plan)),
 		bodies:      make([][]byte, len(plan)),
 		requestID:   p.server.requestIDs.next(),
 	}
+	scattered.gather = scatter.NewGather(scatter.Request{
+		Class:     *r.class(),
+		Shards:    len(plan),
+		ArrivedAt: p.server.now(),
+		Deadline:  r.moduleRequest.Deadline,
+	})
 	if isLarge {
 		p.admissionQueue.enqueue(scattered)
 		return scattered
@@ -88,6 +93,7 @@
 func (r *scatteredRequest) startShard(index int) {
 	started := &shard{parent: r, index: index}
 	r.shards[index] = started
+	r.gather.Start(index)
 	request := *r.request
 	if r.inputs == nil {
 		started.exchange = request.startExchange(started, r.requestID)
@@ -133,16 +139,17 @@
 
 // shardEnded processes the answer of a shard. If this answer decides how the request ends, the request is answered.
 func (r *scatteredRequest) shardEnded(index int, a answer) {
-	decision := r.gather.Complete(index, a.outcome)
-	switch decision {
+	retryAfter := r.retryAfter(a.retryAfter)
+	end := scatter.ShardEnd{Outcome: a.outcome, At: r.request.pool.server.now(), RetryAfter: retryAfter}
+	switch r.gather.Complete(index, end) {
 	case scatter.Wait:
 		return
 	case scatter.Merge:
 		a = r.merge(a)
 	case scatter.RelayError:
 	case scatter.Reject:
-		a.retryAfter = r.retryAfter(a.retryAfter)
-		a.fields = retryFields(a.retryAfter)
+		a.retryAfter = retryAfter
+		a.fields = retryFields(retryAfter)
 	case scatter.Fail:
 		if a.outcome == outcome.Rejected { // this shard was not executed, but others may have been
 			a = failureAnswer("", http.StatusBadGateway, "Part of the request was not served; the rest may have run.")
--- a/internal/openaiserver/scatter_test.go
+++ b/internal/openaiserver/scatter_test.go
@@ -136,6 +136,7 @@
 		{"one engine hangs", faults{"e1": {Hang: true}}, "search", floats, response.served},
 		{"all engines reject, not idempotent", rejecting, "note", floats, response.failed},
 		{"all engines reject", rejecting, "search", floats, response.rejected},
+		{"all engines reject, with a key that may be forgotten", rejecting, "job", floats, response.failed},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			h := startHarness(t, embeddingAndRerankSpecs(3), smallShards...)
