Platform: a deferred retry is not sent after the dedup window of its request

Cause: a prefill that waits for a KV release kept Forward.SendWithin as a duration. It counted from the confirmation, and the wait was bounded by the request's deadline only.

Evidence: with the release confirmed 0.2 s after the window, the code before sends the prefill (TestDeferredRetryIsNotSentAfterItsDedupWindow failed: 2 attempts at the prefill engine, want 1).

Change: an attempt has the time by which it must be sent, fixed when it is forwarded. A deferred one ends as not sent at that time.

--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -25,6 +25,7 @@
 	conn       *upstream.Conn   // nil until the attempt starts and after the response has ended
 	startedAt  time.Duration    // on the loop's clock
 	deadline   time.Duration    // of the first event, on the loop's clock
+	sendBefore time.Duration    // time by which the request must be sent in full, on the loop's clock
 	deferred   *control.Forward // the action that waits for a KV release to be confirmed; nil if not deferred
 
 	state           decisionloop.AttemptState
@@ -63,14 +64,14 @@
 }
 
 // deferUntilReleased makes the attempt wait until the pending KV release of its request is
-// confirmed. The attempt ends as NotSent if its time-out passes first.
+// confirmed. The attempt ends as NotSent if it can no longer be sent in time.
 func (a *attempt) deferUntilReleased(action control.Forward) {
 	a.deferred = &action
-	a.startReleaseTimer(action.Timeout)
+	a.startReleaseTimer(a.sendBefore - a.exchange.server.loop.Now())
 }
 
 // startDeferred starts the attempt if it is deferred. The attempt ends as NotSent if its engine is no
-// longer listed as ready, or if its deadline has passed.
+// longer listed as ready, or if it can no longer be sent in time.
 func (a *attempt) startDeferred() {
 	if a.deferred == nil || a.state == decisionloop.AttemptEnded {
 		return
@@ -80,11 +81,15 @@
 	a.deferred = nil
 	s.loop.StopTimer(&a.firstEventTimer)
 	member, isListed := s.membership.Get(a.endpointID)
-	action.Timeout = a.deadline - s.loop.Now()
-	if !isListed || member.State != control.Ready || action.Timeout <= 0 {
+	now := s.loop.Now()
+	if !isListed || member.State != control.Ready || now >= a.sendBefore {
 		a.finish(control.NotSent, false)
 		return
 	}
+	action.Timeout = a.deadline - now
+	if action.SendWithin > 0 {
+		action.SendWithin = a.sendBefore - now
+	}
 	a.start(action)
 }
 
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -116,6 +117,7 @@
 		endpointID: action.Endpoint,
 		startedAt:  now,
 		deadline:   now + action.Timeout,
+		sendBefore: now + cmp.Or(action.SendWithin, action.Timeout),
 	}
 }
 
--- a/internal/platform/kvrelease_test.go
+++ b/internal/platform/kvrelease_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -185,6 +186,49 @@
 	}
 }
 
+// TestDeferredRetryIsNotSentAfterItsDedupWindow guards against a retry that waits for a KV release to be confirmed and is then
+// sent although the dedup window of its request is over: the engines would execute the request again.
+func TestDeferredRetryIsNotSentAfterItsDedupWindow(t *testing.T) {
+	const window = 500 * time.Millisecond
+	settings := strings.Replace(testSettings, `"Effect":"at_most_once"`,
+		fmt.Sprintf(`"Effect":"deduplicated","DedupScope":"all","WindowUs":%d`, window.Microseconds()), 1)
+	h := startHarnessWith(t, settings, "r1", "w1", "w1")
+	confirmReleases := make(chan struct{})
+	var decodes atomic.Int32
+	for _, e := range h.engines {
+		e.SetScript(func(r *platformtest.Request) bool {
+			switch {
+			case r.Method == http.MethodDelete:
+				<-confirmReleases
+			case r.Engine.Role() != platformtest.Decode:
+			case decodes.Add(1) == 1: // the request has been executed
+				return r.Write(platformtest.Status(http.StatusInternalServerError, ""))
+			default: // the prompt has to be computed again
+				return r.Write(platformtest.Status(http.StatusGone, platformtest.RejectedHeader))
+			}
+			return platformtest.WellBehaved(r)
+		})
+	}
+	sentAt := time.Now()
+	answered := h.sendInBackground(h.chat("note"))
+	h.waitForDeferredPrefill()
+	prefills := h.engines[0].Attempts()
+	time.AfterFunc(window+200*time.Millisecond, func() { close(confirmReleases) })
+
+	answer := <-answered
+
+	if answer.Code != http.StatusBadGateway {
+		t.Errorf("answered %d, want 502: the request may have been executed", answer.Code)
+	}
+	if n := h.engines[0].Attempts(); n != prefills {
+		t.Errorf("%d attempts at the prefill engine, want %d as within the window", n, prefills)
+	}
+	if took := time.Since(sentAt); took > 2*time.Second {
+		t.Errorf("answered after %v, want an answer when the window is over", took)
+	}
+	<-confirmReleases
+}
+
 // TestDecodeRetryWithdrawsPendingRelease: while a decode attempt waits for its response, the release
 // of the KV state is requested. If the engine then rejects the attempt, the pending release is
 // withdrawn and the next decode attempt uses the KV state.
