--- a/control/repeat.go
+++ b/control/repeat.go
@@ -20,9 +20,9 @@
 	return r.RejectedAt.Add(wait).Add(r.TimeBudget)
 }
 
-// IsRepeatHarmless reports whether a client can safely repeat a request of the class, although the request may
-// have been executed. With an idempotency key it can do so only if all endpoints share the keys, since the
-// repeat may reach any of them, and if they still remember the key when the repeat reaches them at the latest.
+// IsRepeatHarmless reports whether a client can safely repeat a request of the class, although the request
+// may have been executed. With an idempotency key it can do so only if all endpoints share the keys, since
+// the repeat may reach any of them, and if they still remember the key at the repeat's latest execution.
 func (c *Class) IsRepeatHarmless(repeat Repeat) bool {
 	switch c.Idempotency {
 	case Idempotent:
