--- a/control/membership/watch.go
+++ b/control/membership/watch.go
@@ -12,9 +12,9 @@
 // head of its response, and the one after that is answered.
 //
 // A router without a watch can't tell a call that discovery has lost from one that discovery answers slowly.
-// A new call helps only in the first case, so calls overlap: most of them are quick, and the others are
-// patient. If discovery needs at most 4 s for each answer, then the next patient call is answered within 6 s
-// after discovery can be reached. The first call that is answered becomes the watch.
+// A new call helps only in the first case, so calls overlap: most of them have a short time-out, the others a
+// long one. If discovery needs at most 4 s for each answer, then the next call with a long time-out is answered
+// within 6 s after discovery can be reached. The first call that is answered becomes the watch.
 const (
 	// HeartbeatInterval is how often discovery sends an empty line on a watch.
 	HeartbeatInterval = 2 * time.Second
@@ -22,14 +22,16 @@
 	// An incomplete message does not count. A heartbeat may be late by a quarter of its interval. It is also
 	// how long a call may go without further bytes after the head of its response.
 	WatchTimeout = HeartbeatInterval + HeartbeatInterval/4
-	// QuickCallTimeout is how long a quick call waits for its response.
-	QuickCallTimeout = 350 * time.Millisecond
-	// PatientCallTimeout is how long a patient call waits for its response.
-	PatientCallTimeout = 4400 * time.Millisecond
-	// PatientCallInterval is the minimum time between the starts of two patient calls.
-	PatientCallInterval = 1500 * time.Millisecond
-	// MaxConcurrentCalls is the maximum number of calls in flight while none is answered. It has room for the
-	// patient calls and the quick ones that overlap.
+	// ResponseBackoff is the wait before another call once the response to one has begun.
+	ResponseBackoff = WatchTimeout
+	// ShortCallTimeout is how long most calls wait for their response.
+	ShortCallTimeout = 350 * time.Millisecond
+	// LongCallTimeout is how long the other calls wait for their response.
+	LongCallTimeout = 4400 * time.Millisecond
+	// LongCallInterval is the minimum time between the starts of two calls with LongCallTimeout.
+	LongCallInterval = 1500 * time.Millisecond
+	// MaxConcurrentCalls is the maximum number of calls in flight while none is answered: three with
+	// LongCallTimeout and two with ShortCallTimeout can overlap.
 	MaxConcurrentCalls = 5
 	// MinBackoff is the shortest wait before another call.
 	MinBackoff = 50 * time.Millisecond
@@ -58,17 +60,27 @@
 	Timeout time.Duration // as NextCallTimeout has returned it
 }
 
-// NextCallTimeout returns how long the next call may wait for its response, given the calls that are pending.
-// The next call is a patient one unless another patient call has been started recently and is pending.
+// NextCallTimeout returns how long the next call may wait for its response, given the calls that are pending:
+// LongCallTimeout, unless a pending call with that time-out has been started recently.
 func NextCallTimeout(pending []PendingCall) time.Duration {
 	for _, call := range pending {
-		if call.Timeout == PatientCallTimeout && call.Age < PatientCallInterval {
-			return QuickCallTimeout
+		if call.Timeout == LongCallTimeout && call.Age < LongCallInterval {
+			return ShortCallTimeout
 		}
 	}
-	return PatientCallTimeout
+	return LongCallTimeout
 }
 
 // RemainingTimeout returns how long a call may go without further bytes after it has received some. A
 // response that makes progress is not given up for another one that would be as slow.
 func (c PendingCall) RemainingTimeout() time.Duration { return max(c.Timeout-c.Age, WatchTimeout) }
+
+// OverdueWatchTimeout returns how long a watch may go without further bytes after WatchTimeout has passed
+// without a complete message or heartbeat. 0 means that it has failed. isMidMessage is set if a message has
+// arrived in part, and sinceBytes is the time since its latest bytes.
+func OverdueWatchTimeout(isMidMessage bool, sinceBytes time.Duration) time.Duration {
+	if !isMidMessage {
+		return 0
+	}
+	return max(WatchTimeout-sinceBytes, 0)
+}
--- a/control/membership/watch_test.go
+++ b/control/membership/watch_test.go
@@ -95,11 +95,11 @@
 // its call is, and never less than the call's own time-out allows.
 func TestResponseWithProgressIsNotGivenUp(t *testing.T) {
 	for _, c := range []struct{ age, timeout, want time.Duration }{
-		{0, QuickCallTimeout, WatchTimeout},
-		{time.Minute, QuickCallTimeout, WatchTimeout},
-		{0, PatientCallTimeout, PatientCallTimeout},
-		{time.Second, PatientCallTimeout, PatientCallTimeout - time.Second},
-		{4 * time.Second, PatientCallTimeout, WatchTimeout},
+		{0, ShortCallTimeout, WatchTimeout},
+		{time.Minute, ShortCallTimeout, WatchTimeout},
+		{0, LongCallTimeout, LongCallTimeout},
+		{time.Second, LongCallTimeout, LongCallTimeout - time.Second},
+		{4 * time.Second, LongCallTimeout, WatchTimeout},
 	} {
 		if got := (PendingCall{Age: c.age, Timeout: c.timeout}).RemainingTimeout(); got != c.want {
 			t.Errorf("call of age %v with time-out %v: %v remain, want %v", c.age, c.timeout, got, c.want)
@@ -107,6 +107,25 @@
 	}
 }
 
+// TestWatchMidMessageIsNotGivenUp: a watch that is overdue has failed, unless it is in the middle of a message whose bytes
+// still arrive.
+func TestWatchMidMessageIsNotGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		isMidMessage     bool
+		sinceBytes, want time.Duration
+	}{
+		{false, 0, 0},
+		{true, 0, WatchTimeout},
+		{true, time.Second, WatchTimeout - time.Second},
+		{true, WatchTimeout, 0},
+		{true, time.Minute, 0},
+	} {
+		if got := OverdueWatchTimeout(c.isMidMessage, c.sinceBytes); got != c.want {
+			t.Errorf("in a message %v, %v after its latest bytes: %v remain, want %v", c.isMidMessage, c.sinceBytes, got, c.want)
+		}
+	}
+}
+
 // TestMessagesOfAllCallsFitIntoTheBuffers: the incomplete messages of all calls fit into the memory for buffers.
 func TestMessagesOfAllCallsFitIntoTheBuffers(t *testing.T) {
 	const bufferedBytes = 6 << 20
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -34,7 +34,7 @@
 	pending         []*watchCall     // calls without a complete message or heartbeat so far, oldest first
 	nextCallTimer   timerwheel.Timer // runs until the next call
 	backoff         time.Duration    // last delay that was scheduled; 0 initially and after a reset
-	isPostponed     bool             // the timer runs for membership.WatchTimeout, since a response has begun
+	isPostponed     bool             // the timer runs for membership.ResponseBackoff
 	isStopped       bool
 }
 
@@ -111,15 +111,15 @@
 	d.loop.StartTimer(&d.nextCallTimer, d.backoff)
 }
 
-// postponeCall delays the next call, because the response to a pending one has begun. Another call may still
-// become necessary: the response may never get to its first message. Only the first of several responses
-// that begin delays the next call.
+// postponeCall delays the next call by membership.ResponseBackoff, because the response to a pending one has
+// begun. Another call may still become necessary: the response may never get to its first message. Only the
+// first of several responses that begin delays the next call.
 func (d *discoveryClient) postponeCall() {
 	if d.isPostponed || d.watch != nil {
 		return
 	}
 	d.isPostponed = true
-	d.loop.StartTimer(&d.nextCallTimer, membership.WatchTimeout)
+	d.loop.StartTimer(&d.nextCallTimer, membership.ResponseBackoff)
 }
 
 // isAnyResponding reports whether the response to a pending call has begun.
--- a/internal/platform/kvrelease_test.go
+++ b/internal/platform/kvrelease_test.go
@@ -186,20 +186,27 @@
 	}
 }
 
-// TestDeferredRetryIsNotSentAfterItsDedupWindow guards against a retry that waits for a KV release to be confirmed and is then
-// sent although the dedup window of its request is over: the engines would execute the request again.
-func TestDeferredRetryIsNotSentAfterItsDedupWindow(t *testing.T) {
-	const window = 500 * time.Millisecond
+// deferredRetry is a request with a key that has been executed and whose next prefill waits for KV releases to be confirmed.
+type deferredRetry struct {
+	*harness
+	sentAt          time.Time
+	answered        <-chan platformtest.Answer
+	prefills        int           // attempts at the prefill engine so far
+	confirmReleases chan struct{} // close it to confirm the releases
+}
+
+// startDeferredRetry starts a server whose engines drop repeats within window, and a request that becomes a deferredRetry.
+func startDeferredRetry(t *testing.T, window time.Duration) *deferredRetry {
+	t.Helper()
 	settings := strings.Replace(testSettings, `"Effect":"at_most_once"`,
 		fmt.Sprintf(`"Effect":"deduplicated","DedupScope":"all","WindowUs":%d`, window.Microseconds()), 1)
-	h := startHarnessWith(t, settings, "r1", "w1", "w1")
-	confirmReleases := make(chan struct{})
+	d := &deferredRetry{harness: startHarnessWith(t, settings, "r1", "w1", "w1"), confirmReleases: make(chan struct{})}
 	var decodes atomic.Int32
-	for _, e := range h.engines {
+	for _, e := range d.engines {
 		e.SetScript(func(r *platformtest.Request) bool {
 			switch {
 			case r.Method == http.MethodDelete:
-				<-confirmReleases
+				<-d.confirmReleases
 			case r.Engine.Role() != platformtest.Decode:
 			case decodes.Add(1) == 1: // the request has been executed
 				return r.Write(platformtest.Status(http.StatusInternalServerError, ""))
@@ -209,24 +216,52 @@
 			return platformtest.WellBehaved(r)
 		})
 	}
-	sentAt := time.Now()
-	answered := h.sendInBackground(h.chat("note"))
-	h.waitForDeferredPrefill()
-	prefills := h.engines[0].Attempts()
-	time.AfterFunc(window+200*time.Millisecond, func() { close(confirmReleases) })
-
-	answer := <-answered
+	d.sentAt = time.Now()
+	d.answered = d.sendInBackground(d.chat("note"))
+	d.waitForDeferredPrefill()
+	d.prefills = d.engines[0].Attempts()
+	return d
+}
 
+// expectFailedWithoutRetry fails the test unless the request fails soon and its prompt is not computed again.
+func (d *deferredRetry) expectFailedWithoutRetry() {
+	d.Helper()
+	answer := <-d.answered
 	if answer.Code != http.StatusBadGateway {
-		t.Errorf("answered %d, want 502: the request may have been executed", answer.Code)
+		d.Errorf("answered %d, want 502: the request may have been executed", answer.Code)
 	}
-	if n := h.engines[0].Attempts(); n != prefills {
-		t.Errorf("%d attempts at the prefill engine, want %d as within the window", n, prefills)
+	if n := d.engines[0].Attempts(); n != d.prefills {
+		d.Errorf("%d attempts at the prefill engine, want %d as within the window", n, d.prefills)
 	}
-	if took := time.Since(sentAt); took > 2*time.Second {
-		t.Errorf("answered after %v, want an answer when the window is over", took)
+	if took := time.Since(d.sentAt); took > 2*time.Second {
+		d.Errorf("answered after %v, want an answer when the window is over", took)
 	}
-	<-confirmReleases
+}
+
+// TestDeferredRetryIsNotSentAfterItsDedupWindow guards against a retry that waits for a KV release to be confirmed and is then
+// sent although the dedup window of its request is over: the engines would execute the request again.
+func TestDeferredRetryIsNotSentAfterItsDedupWindow(t *testing.T) {
+	const window = 500 * time.Millisecond
+	d := startDeferredRetry(t, window)
+	time.AfterFunc(window+200*time.Millisecond, func() { close(d.confirmReleases) })
+
+	d.expectFailedWithoutRetry()
+
+	<-d.confirmReleases
+}
+
+// TestConfirmationAtTheEndOfTheDedupWindowSendsNoRetry guards against the same if a delayed iteration of the loop reads the
+// confirmation before the timer for the end of the window fires.
+func TestConfirmationAtTheEndOfTheDedupWindowSendsNoRetry(t *testing.T) {
+	const window = 500 * time.Millisecond
+	d := startDeferredRetry(t, window)
+
+	d.runOnLoop(func() {
+		close(d.confirmReleases)
+		time.Sleep(window)
+	})
+
+	d.expectFailedWithoutRetry()
 }
 
 // TestDecodeRetryWithdrawsPendingRelease: while a decode attempt waits for its response, the release
--- a/internal/platform/slowdiscovery_test.go
+++ b/internal/platform/slowdiscovery_test.go
@@ -70,6 +70,15 @@
 		"list in pieces over 4 s": {script: func(message string) callScript {
 			return answersInPieces(4*time.Second, message)
 		}},
+		"list in pieces over 5 s": {script: func(message string) callScript {
+			return answersInPieces(5*time.Second, message)
+		}},
+		"the first response ends after its head": {script: func(string) callScript {
+			return func(conn net.Conn) {
+				io.WriteString(conn, head)
+				conn.Close()
+			}
+		}, onlyFirst: true, within: time.Second},
 		"only the first answer takes 4 s": {script: func(message string) callScript {
 			return answersAfter(4*time.Second, "", head+platformtest.Chunk(message))
 		}, onlyFirst: true, within: time.Second},
@@ -107,6 +116,57 @@
 	}
 }
 
+// TestLateHeadDoesNotDelayNextCall guards against a next call that is delayed again by each response that begins: the second
+// call gets the head of its response at once, the first one 2.4 s later, and neither gets a message.
+func TestLateHeadDoesNotDelayNextCall(t *testing.T) {
+	t.Parallel()
+	h := startHarness(t, "r1", "w1")
+	callsBefore := h.discovery.Calls()
+	h.revision = 2
+	h.discovery.SetFirstMessage(platformtest.IncrementalList(h.revision) + "\n")
+	h.discovery.SetScript(func(conn net.Conn, call int) (isAnswered bool) {
+		switch call - callsBefore {
+		case 1:
+			answersAfter(2400*time.Millisecond, "", platformtest.WatchHead)(conn)
+		case 2:
+			answersHead(conn)
+		default:
+			return false
+		}
+		return true
+	})
+	h.discovery.CloseCalls()
+	startedAt := time.Now()
+
+	h.waitUntilListApplied()
+
+	const limit = membership.ResponseBackoff + 2*time.Second
+	if took := time.Since(startedAt); took > limit {
+		t.Errorf("the list was applied after %v, limit %v", took, limit)
+	}
+}
+
+// TestCallsInProgressAreBounded guards against calls that pile up while each of them receives a message that never ends.
+func TestCallsInProgressAreBounded(t *testing.T) {
+	h := startHarness(t, "r1", "w1")
+	h.discovery.SetScript(func(conn net.Conn, _ int) (isAnswered bool) {
+		endlessMessage(conn)
+		return true
+	})
+	h.discovery.CloseCalls()
+	h.waitOnLoop("the watch to end", func() bool { return h.server.discovery.watch == nil })
+
+	for range 3 * membership.MaxConcurrentCalls {
+		h.runOnLoop(func() {
+			h.server.discovery.startCall()
+			if n := len(h.server.discovery.pending); n > membership.MaxConcurrentCalls {
+				t.Errorf("%d concurrent calls, limit %d", n, membership.MaxConcurrentCalls)
+			}
+		})
+	}
+	h.waitFor("the router to close all other calls", func() bool { return h.discovery.OpenCalls() <= membership.MaxConcurrentCalls })
+}
+
 // TestSlowDiscoveryIsHeardAfterSilence guards against a slow discovery that is never heard again once its watch has fallen
 // silent: silence is found after WatchTimeout, and the next call waits for an answer that takes 1 s.
 func TestSlowDiscoveryIsHeardAfterSilence(t *testing.T) {
--- a/internal/platform/watchcall.go
+++ b/internal/platform/watchcall.go
@@ -126,17 +126,26 @@
 	return membership.PendingCall{Age: w.client.loop.Now() - w.startedAt, Timeout: w.callTimeout}
 }
 
-// handleTimeout gives up the call, or suspends the watch if it is in the middle of a message. That a quick
-// call gets no response is not logged: several of them fail while discovery is slow or down.
+// overdueTimeout returns how much longer the call is kept if it is the watch and has timed out. It returns 0
+// for any other call.
+func (w *watchCall) overdueTimeout() time.Duration {
+	if w.client.watch != w {
+		return 0
+	}
+	return membership.OverdueWatchTimeout(w.messages.isIncomplete(), w.client.loop.Now()-w.receivedAt)
+}
+
+// handleTimeout gives up the call, or suspends a watch that may still complete a message. That a call with a
+// short time-out gets no response is not logged: several of them fail while discovery is slow or down.
 func (w *watchCall) handleTimeout() {
-	sinceBytes := w.client.loop.Now() - w.receivedAt
+	remaining := w.overdueTimeout()
 	switch {
-	case w.client.watch == w && w.messages.isIncomplete() && sinceBytes < membership.WatchTimeout:
+	case remaining > 0:
 		w.client.suspendWatch()
-		w.client.loop.StartTimer(&w.timer, membership.WatchTimeout-sinceBytes)
+		w.client.loop.StartTimer(&w.timer, remaining)
 	case w.isResponding:
 		w.fail(warning{message: watchTimedOut})
-	case w.callTimeout == membership.PatientCallTimeout:
+	case w.callTimeout == membership.LongCallTimeout:
 		w.fail(warning{message: "discovery call timed out"})
 	default:
 		w.end()
