Tests for three guards of the deferred retry and of cut errors

Taken out one at a time, the timer that ends a deferred attempt at the end of its window, the reduced SendWithin and attempt.isTruncated were noticed by no test. Each is now: the client of a retry whose release is never confirmed is answered when the window is over, a retry that connects slowly ends with the window, and an error that was cut beside full buffers stays cut when they are free again.

--- a/internal/openaiserver/fullbuffers_test.go
+++ b/internal/openaiserver/fullbuffers_test.go
@@ -160,6 +160,54 @@
 	})
 }
 
+// TestCutErrorStaysCut guards against an engine's error of which a piece in the middle is missing, since the buffers were full
+// when it came and no longer when the next one did.
+func TestCutErrorStaysCut(t *testing.T) {
+	const free = 15_000
+	pieces := []string{strings.Repeat("a", 20_000), strings.Repeat("b", 1000)}
+	mustContinue := make(chan struct{})
+	engine := enginetest.Start(t, func(r *enginetest.Request) (keepOpen bool) {
+		r.Write(fmt.Sprintf("HTTP/1.1 422 Unprocessable Entity\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+			len(pieces[0])+len(pieces[1]), pieces[0]))
+		<-mustContinue
+		return r.Write(pieces[1])
+	})
+	service := startServiceWithEngines(t, "chat", "mixed", []*enginetest.Engine{engine})
+	release := service.Router.FillBuffers(free)
+	before, err := service.Router.Stats()
+	if err != nil {
+		t.Fatal(err)
+	}
+	answered := make(chan *http.Response, 1)
+	go func() {
+		defer close(answered)
+		answer, err := http.Post("http://"+service.Router.Addr()+chatPath, "application/json",
+			strings.NewReader(`{"model":"demo-chat","messages":[{"role":"user","content":"x"}]}`))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		answered <- answer
+	}()
+
+	waitUntil(t, "the buffers are full", func() bool {
+		stats, err := service.Router.Stats()
+		return err != nil || stats.BufferedBytes == before.BufferedBytes+free
+	})
+	release()
+	close(mustContinue)
+
+	answer := <-answered
+	if answer == nil {
+		return
+	}
+	body, err := io.ReadAll(answer.Body)
+	answer.Body.Close()
+	if err != nil || answer.StatusCode != http.StatusUnprocessableEntity || !strings.HasPrefix(pieces[0], string(body)) {
+		t.Errorf("status %d, %d bytes, error %v; want 422 and the beginning of the engine's text", answer.StatusCode, len(body), err)
+	}
+}
+
 // TestLongErrorIsCutAtItsEnd guards against an engine's error of which a piece in the middle is missing, since later pieces
 // were buffered again after one that did not fit.
 func TestLongErrorIsCutAtItsEnd(t *testing.T) {
--- a/internal/platform/kvrelease_test.go
+++ b/internal/platform/kvrelease_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"martenlock/control"
+	"martenlock/internal/decisionloop"
 	"martenlock/internal/enginetest"
 	"martenlock/internal/platform/platformtest"
 )
@@ -239,15 +240,50 @@
 }
 
 // TestDeferredRetryIsNotSentAfterItsDedupWindow guards against a retry that waits for a KV release to be confirmed and is then
-// sent although the dedup window of its request is over: the engines would execute the request again.
+// sent although the dedup window of its request is over: the engines would execute the request again. The client is answered
+// when the window is over, also if no engine ever confirms the release.
 func TestDeferredRetryIsNotSentAfterItsDedupWindow(t *testing.T) {
 	const window = 500 * time.Millisecond
+	for name, isConfirmed := range map[string]bool{"confirmed after the window": true, "never confirmed": false} {
+		t.Run(name, func(t *testing.T) {
+			d := startDeferredRetry(t, window)
+			if isConfirmed {
+				time.AfterFunc(window+200*time.Millisecond, func() { close(d.confirmReleases) })
+			} else {
+				defer close(d.confirmReleases)
+			}
+
+			d.expectFailedWithoutRetry()
+		})
+	}
+}
+
+// TestDeferredRetryIsSentInWhatIsLeftOfItsDedupWindow guards against a retry that may be sent for the whole length of its dedup
+// window once it has waited for most of it: its connection is not established, and the attempt ends with the window.
+func TestDeferredRetryIsSentInWhatIsLeftOfItsDedupWindow(t *testing.T) {
+	const window, wait = time.Second, 700 * time.Millisecond
 	d := startDeferredRetry(t, window)
-	time.AfterFunc(window+200*time.Millisecond, func() { close(d.confirmReleases) })
+	prefill := d.engines[0]
+	d.runOnLoop(func() { d.server.endpoints.connOptions.ConnectTimeout = 5 * time.Second })
+	d.listAt(enginetest.UnreachableAddress(t).String(), prefill)
+	var deferred *attempt
+	d.runOnLoop(func() {
+		for _, e := range d.server.exchanges.ByID {
+			deferred = e.attempt
+		}
+	})
+	time.AfterFunc(wait, func() { close(d.confirmReleases) })
 
-	d.expectFailedWithoutRetry()
+	var endedAt time.Duration
+	d.waitOnLoop("the attempt to end", func() bool {
+		endedAt = d.server.loop.Now()
+		return deferred.state == decisionloop.AttemptEnded
+	})
 
-	<-d.confirmReleases
+	if late := endedAt - deferred.sendBefore; late > wait/2 {
+		t.Errorf("the attempt ended %v after the window", late)
+	}
+	d.expectFailedWithoutRetry()
 }
 
 // TestConfirmationAtTheEndOfTheDedupWindowSendsNoRetry guards against the same if a delayed iteration of the loop reads the
