Serve: release KV state of a prefill whose response is too long or unusable

What callers saw: nothing; the engine kept the KV state of a request until its own limit, so that it had less memory for others.

Cause: a prefill response with status 200 that is over 4 MiB, or names no KV state, ends its attempt as Failed, and mayRetainKV did not count that.

Evidence: with a response of 5 MiB, TestUnusedPrefillResponseLeavesNoKVState waited 20 s for an abort on the code before. Now it comes at once.

--- a/internal/openaiserver/attempt.go
+++ b/internal/openaiserver/attempt.go
@@ -109,9 +109,9 @@
 	a.discardBuffered()
 }
 
-// mayRetainKV reports whether the engine may retain KV state, now or later, although its response was not received.
-// This is possible if a prefill may have reached the engine and then timed out, lost its connection or was cancelled, or
-// if there was no memory for its response.
+// mayRetainKV reports whether the engine may retain KV state, now or later, that no decode engine can use. This is possible
+// if a prefill may have reached the engine and then timed out, lost its connection or was cancelled, or if its response was
+// a success and could not be used or kept.
 func (a *attempt) mayRetainKV(result control.Result) bool {
 	if a.role != control.RolePrefill || !a.isConnected {
 		return false
@@ -119,7 +119,9 @@
 	switch result {
 	case control.TimedOut, control.Reset, control.Cancelled, control.ResponseDropped:
 		return true
-	case control.OK, control.PrefillDone, control.Failed, control.Rejected, control.ConnectFailed, control.NotSent:
+	case control.Failed:
+		return a.status == http.StatusOK
+	case control.OK, control.PrefillDone, control.Rejected, control.ConnectFailed, control.NotSent:
 	}
 	return false
 }
--- a/internal/openaiserver/fullbuffers_test.go
+++ b/internal/openaiserver/fullbuffers_test.go
@@ -132,32 +132,43 @@
 	}
 }
 
-// TestFullBuffersLeaveNoKVState guards against KV state that an engine retains for good, because its response to the
-// prefill found the buffers full: the engine is asked to release it.
-func TestFullBuffersLeaveNoKVState(t *testing.T) {
-	engine := enginetest.Start(t, respondWith(http.StatusOK, `{"kv_transfer_params":{"x":"`+bufferedText+`"}}`))
-	service := startServiceWithEngines(t, "chat", "reader", []*enginetest.Engine{engine})
-	release := service.Router.FillBuffers(15_000)
-	answer, err := http.Post("http://"+service.Router.Addr()+chatPath, "application/json",
-		strings.NewReader(`{"model":"demo-chat","messages":[{"role":"user","content":"x"}]}`))
-	if err != nil {
-		t.Fatal(err)
-	}
-	answer.Body.Close()
-	release()
+// TestUnusedPrefillResponseLeavesNoKVState guards against KV state that an engine retains for good, because its response to
+// the prefill found the buffers full or was too long: the engine is asked to release it.
+func TestUnusedPrefillResponseLeavesNoKVState(t *testing.T) {
+	const tooLong = 5 << 20
+	for name, test := range map[string]struct {
+		freeBytes int64
+		text      string
+	}{
+		"buffers full": {15_000, bufferedText},
+		"too long":     {64 << 20, strings.Repeat("x", tooLong)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			engine := enginetest.Start(t, respondWith(http.StatusOK, `{"kv_transfer_params":{"x":"`+test.text+`"}}`))
+			service := startServiceWithEngines(t, "chat", "reader", []*enginetest.Engine{engine})
+			release := service.Router.FillBuffers(test.freeBytes)
+			answer, err := http.Post("http://"+service.Router.Addr()+chatPath, "application/json",
+				strings.NewReader(`{"model":"demo-chat","messages":[{"role":"user","content":"x"}]}`))
+			if err != nil {
+				t.Fatal(err)
+			}
+			answer.Body.Close()
+			release()
 
-	if answer.StatusCode != http.StatusTooManyRequests {
-		t.Errorf("status %d, want 429: a prefill has no effect", answer.StatusCode)
-	}
-	prefill := engine.Requests()[0].Header.Get("X-Request-Id")
-	waitUntil(t, "the engine is asked to release the KV state", func() bool {
-		for _, request := range engine.Requests()[1:] {
-			if strings.Contains(request.Body, prefill) {
-				return true
+			if answer.StatusCode != http.StatusTooManyRequests {
+				t.Errorf("status %d, want 429: a prefill has no effect", answer.StatusCode)
 			}
-		}
-		return false
-	})
+			prefill := engine.Requests()[0].Header.Get("X-Request-Id")
+			waitUntil(t, "the engine is asked to release the KV state", func() bool {
+				for _, request := range engine.Requests()[1:] {
+					if strings.Contains(request.Body, prefill) {
+						return true
+					}
+				}
+				return false
+			})
+		})
+	}
 }
 
 // TestCutErrorStaysCut guards against an engine's error of which a piece in the middle is missing, since the buffers were full
