Bench: stop a process that ends before it tells its address

startProcess returned the process together with the error, and no caller stopped it then. It is stopped, and the error names the kind of process.

--- a/internal/bench/process.go
+++ b/internal/bench/process.go
@@ -38,8 +38,14 @@
 	if err != nil {
 		return nil, err
 	}
+	started := &process{command: command, stdin: stdin}
 	line, err := bufio.NewReader(stdout).ReadString('\n')
-	return &process{command: command, stdin: stdin, address: strings.TrimSpace(line)}, err
+	if err != nil {
+		started.stop()
+		return nil, fmt.Errorf("read the address of the %s process: %w", kind, err)
+	}
+	started.address = strings.TrimSpace(line)
+	return started, nil
 }
 
 // startOnCore starts a command on one core. A child process inherits the CPU affinity of the thread that starts it.
